Count the memory of stage upstreams for whole jobs, and expect a request on its way to run

Change: a job starts only where all its results fit; large results that no stage reads are made last; a request counts as possibly run from its first byte on; silence counts from the first waiting job.

--- a/galenashift/gateway/_choice.py
+++ b/galenashift/gateway/_choice.py
@@ -59,6 +59,7 @@
         excluded: Collection[UpstreamId],
         prefix_key: str | None,
         daemon_count: int,
+        near: FailureDomainName | None,
         now_s: float,
     ) -> Choice | None:
         """Choose an upstream, or None if no upstream can take the request.
@@ -67,6 +68,7 @@
         :param excluded: Upstreams that have been tried.
         :param prefix_key: Key of the shared prompt, see `prefix_key`.
         :param daemon_count: Daemons that send to the same upstreams.
+        :param near: Failure domain that keeps large inputs of the request.
         :param now_s: Boot-time clock, in seconds.
         """
         fresh = [
@@ -75,6 +77,9 @@
         eligible = [each for each in fresh if self._eligible(each, daemon_count, now_s)]
         if not eligible:
             return None
+        eligible = [
+            each for each in eligible if each.registration.failure_domain == near
+        ] or eligible
         cost_by_id = {
             each.registration.upstream_id: self._cost_s(each, now_s)
             for each in eligible
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -2,16 +2,19 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import assert_never
 
 import trio
 
 from galenashift.model import (
     Failure,
+    FailureDomainName,
     Handle,
     Organisation,
     OrganisationId,
     Reason,
+    RegisteredUpstream,
     RequestFields,
     RequestId,
     RequestKind,
@@ -94,6 +97,8 @@
     #: Upstreams that could not be reached.
     unreachable: set[UpstreamId] = field(default_factory=set)
     verdict: Verdict = Verdict.NOT_RUN
+    #: Whether a request is on its way whose outcome is unknown yet.
+    in_flight: bool = False
     #: Answer of an upstream that a repetition may improve on.
     spare_answer: Answered | None = None
 
@@ -225,7 +230,8 @@
                 failed = await run.make()
             if failed is not None:
                 return _stage_failure(failed)
-            return await self._send_until_done(job, responder, run.inputs)
+            near = self._view.domain_of_most(run.input_bytes)
+            return await self._send_until_done(job, responder, run.inputs, near)
         finally:
             run.release()
 
@@ -242,16 +248,22 @@
             ),
             rank=job.route.rank,
             due_s=job.due_s,
-            deadline_s=job.deadline_s,
+            deadline_s=min(
+                job.deadline_s, job.request.arrived_at_s + job.route.patience_s
+            ),
             final_s=self._times.first_byte_s(job.service),
         )
 
     async def _send_until_done(
-        self, job: _Job, responder: Responder, inputs: tuple[Handle, ...]
+        self,
+        job: _Job,
+        responder: Responder,
+        inputs: tuple[Handle, ...],
+        near: FailureDomainName | None = None,
     ) -> Failure | None:
         writer = StreamWriter(responder=responder, last_id=job.fields.last_event_id)
         while True:
-            choice = await self._choose(job)
+            choice = await self._choose(job, near)
             if choice is None:
                 return await self._without_upstream(job, responder, writer)
             outcome = await self._send(job, choice, writer, inputs)
@@ -259,7 +271,7 @@
             if not isinstance(result, _SendAgain):
                 return result
 
-    async def _choose(self, job: _Job) -> Choice | None:
+    async def _choose(self, job: _Job, near: FailureDomainName | None) -> Choice | None:
         wait_until_s = self._clock() + _WAIT_PART * job.route.goal_s
         while True:
             now_s = self._clock()
@@ -272,6 +284,7 @@
                     else None
                 ),
                 daemon_count=self._view.daemon_count,
+                near=near,
                 now_s=now_s,
             )
             if choice is not None or now_s >= wait_until_s:
@@ -315,15 +328,23 @@
         self._router.cold.record_send(upstream.upstream_id, now_s=now_s)
         writer.begin(sent_at_s=now_s, clock=self._clock)
         try:
-            return await self._exchanger.exchange(
+            outcome = await self._exchanger.exchange(
                 upstream=upstream,
                 request=request,
                 waits=self._waits(job),
                 sink=writer.take if job.route.kind is RequestKind.STREAM else None,
-                may_send=lambda: self._view.may_get_work(upstream, now_s=self._clock()),
+                may_send=partial(self._begin_send, job, upstream),
             )
         finally:
             record.in_flight -= 1
+        job.in_flight = False
+        return outcome
+
+    def _begin_send(self, job: _Job, upstream: RegisteredUpstream) -> bool:
+        """Tell whether the first byte may be written, and expect that it is."""
+        now_s = self._clock()
+        job.in_flight = self._view.may_get_work(upstream, now_s=now_s)
+        return job.in_flight
 
     def _waits(self, job: _Job) -> Waits:
         left_s = max(_MIN_LEFT_S, job.deadline_s - self._clock())
@@ -427,7 +448,7 @@
         )
 
     def _timed_out(self, job: _Job) -> Failure:
-        if job.tried or job.verdict is not Verdict.NOT_RUN:
+        if job.in_flight or job.verdict is not Verdict.NOT_RUN:
             return may_have_run(
                 reason=Reason.DEADLINE_PASSED, detail="the deadline has passed"
             )
--- a/galenashift/gateway/_stage_link.py
+++ b/galenashift/gateway/_stage_link.py
@@ -250,6 +250,7 @@
         self._outbox: _Outbox | None = None
         self._waiters_by_id: dict[int, tuple[trio.Event, list[StageOutcome]]] = {}
         self._numbers = 0
+        self._waiting_since_s = 0.0
         self._opened = trio.Event()
         self.broken = False
 
@@ -288,18 +289,21 @@
             scope.cancel()
 
     async def _read(self, frames: FramedStream) -> None:
-        idle_s = 0.0
-        while idle_s < _IDLE_S:
+        """Read until the peer is silent although a job waits for it."""
+        heard_at_s = self._clock()
+        while True:
             data: bytes | None = None
-            with trio.move_on_after(_SILENCE_S):
+            with trio.move_on_after(_BEAT_S):
                 data = await frames.read_frame(max_bytes=MAX_FRAME_BYTES)
-            if data is None:
-                if self._waiters_by_id:
+            now_s = self._clock()
+            if data is not None:
+                heard_at_s = now_s
+                self._take(decode(idl.StageFrame, data))
+            elif self._waiters_by_id:
+                if now_s - max(heard_at_s, self._waiting_since_s) > _SILENCE_S:
                     return
-                idle_s += _SILENCE_S
-                continue
-            idle_s = 0.0
-            self._take(decode(idl.StageFrame, data))
+            elif now_s - heard_at_s > _IDLE_S:
+                return
 
     def _take(self, frame: Any) -> None:
         if frame.result is None:
@@ -320,6 +324,8 @@
         self._numbers += 1
         number = self._numbers
         event, outcomes = trio.Event(), list[StageOutcome]()
+        if not self._waiters_by_id:
+            self._waiting_since_s = self._clock()
         self._waiters_by_id[number] = (event, outcomes)
         message = _encode_job(number, service, job, self._clock())
         try:
--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -15,7 +15,9 @@
 JobId = NewType("JobId", str)
 
 #: Time by which a lower rank is put back, in seconds.
-_RANK_DELAY_S = 0.15
+_RANK_DELAY_S = 0.4
+#: Results below this size never wait for memory, in bytes.
+_SMALL_RESULT_BYTES = 100_000
 #: Attempts at a piece before its request fails.
 MAX_PIECE_ATTEMPTS = 3
 
@@ -48,6 +50,11 @@
     def __post_init__(self) -> None:
         self.waiting = list(range(len(self.pieces)))
 
+    @property
+    def begun(self) -> bool:
+        """Whether a piece has been made or is being made."""
+        return len(self.waiting) < len(self.pieces)
+
     @property
     def complete(self) -> bool:
         """Whether all pieces have been made."""
@@ -171,25 +178,53 @@
         :param now_s: Boot-time clock, in seconds.
         """
         free_at_s = {each.upstream_id: max(now_s, each.free_at_s) for each in workers}
-        batches: list[Batch] = []
+        free_bytes = {each.upstream_id: each.free_bytes for each in workers}
         idle = {each.upstream_id for each in workers if not each.busy}
-        refs = self._ordered(now_s)
-        while refs and idle:
-            worker, end_s = self._first_to_end(workers, free_at_s, refs)
-            size = self._batch_size(worker, refs)
-            free_at_s[worker.upstream_id] = end_s
-            if size == 0:
-                idle.discard(worker.upstream_id)
-                workers = [each for each in workers if each is not worker]
-                if not workers:
-                    break
+        refs = self._admitted(sum(free_bytes.values()), now_s)
+        open_workers = list(workers)
+        batches: list[Batch] = []
+        while refs and idle and open_workers:
+            worker, end_s = self._first_to_end(open_workers, free_at_s, refs)
+            taken = self._fitting(refs, free_bytes[worker.upstream_id])
+            if not taken:
+                open_workers.remove(worker)
                 continue
-            taken, refs = refs[:size], refs[size:]
+            refs = [ref for ref in refs if ref not in taken]
+            free_at_s[worker.upstream_id] = end_s
+            free_bytes[worker.upstream_id] -= sum(ref.job.result_bytes for ref in taken)
             if worker.upstream_id in idle:
                 idle.discard(worker.upstream_id)
                 batches.append(self._take(worker, taken))
         return batches
 
+    def _admitted(self, free_bytes: float, now_s: float) -> list[PieceRef]:
+        """List the pieces in order, as far as the memory for whole jobs reaches.
+
+        Two jobs that were half made could otherwise wait for each other's memory.
+        """
+        refs: list[PieceRef] = []
+        for job in self._ordered(now_s):
+            need_bytes = len(job.waiting) * job.result_bytes
+            if need_bytes > free_bytes and not job.begun:
+                # Later jobs with large results wait too, or large jobs never start.
+                free_bytes = min(free_bytes, 0.0)
+                if job.result_bytes >= _SMALL_RESULT_BYTES:
+                    continue
+            free_bytes -= need_bytes
+            refs += [PieceRef(job=job, index=index) for index in job.waiting]
+        return refs
+
+    def _fitting(self, refs: Sequence[PieceRef], free_bytes: float) -> list[PieceRef]:
+        """Return the first pieces that one upstream has memory for, up to a batch."""
+        taken: list[PieceRef] = []
+        for ref in refs:
+            if len(taken) == self.limits.batch:
+                break
+            if ref.job.result_bytes <= free_bytes:
+                free_bytes -= ref.job.result_bytes
+                taken.append(ref)
+        return taken
+
     def _first_to_end(
         self,
         workers: Sequence[Worker],
@@ -205,16 +240,6 @@
         best = min(workers, key=end_s)
         return best, end_s(best)
 
-    def _batch_size(self, worker: Worker, refs: Sequence[PieceRef]) -> int:
-        size = 0
-        free_bytes = worker.free_bytes
-        for ref in refs[: self.limits.batch]:
-            free_bytes -= ref.job.result_bytes
-            if free_bytes < 0:
-                break
-            size += 1
-        return size
-
     def _take(self, worker: Worker, refs: Iterable[PieceRef]) -> Batch:
         pieces = tuple(refs)
         for ref in pieces:
@@ -223,13 +248,13 @@
             attempts[ref.index] = attempts.get(ref.index, 0) + 1
         return Batch(upstream_id=worker.upstream_id, pieces=pieces)
 
-    def _ordered(self, now_s: float) -> list[PieceRef]:
+    def _ordered(self, now_s: float) -> list[StageJob]:
         jobs = [job for job in self._jobs_by_id.values() if job.waiting]
         jobs.sort(key=lambda job: self._order_key(job, now_s))
-        return [PieceRef(job=job, index=index) for job in jobs for index in job.waiting]
+        return jobs
 
-    def _order_key(self, job: StageJob, now_s: float) -> tuple[bool, float]:
+    def _order_key(self, job: StageJob, now_s: float) -> tuple[bool, bool, float]:
         rest_s = self.call_s(len(job.waiting)) + job.tail_s
         late = now_s + rest_s > job.due_s
         start_by_s = job.due_s - job.tail_s
-        return late, start_by_s + job.rank * _RANK_DELAY_S
+        return not job.begun, late, start_by_s + job.rank * _RANK_DELAY_S
--- a/galenashift/gateway/_stage_run.py
+++ b/galenashift/gateway/_stage_run.py
@@ -15,10 +15,11 @@
     ServiceName,
     StageSpec,
 )
-from galenashift.platform import Piece
+from galenashift.platform import Piece, handle_address
 
 from ._stage_queue import JobId, StageJob
 from ._stage_scheduler import StageFailed, StageMade, StageOutcome, StageProblem
+from ._view import LARGE_RESULT_BYTES
 
 _numbers = itertools.count(1)
 
@@ -77,6 +78,18 @@
             handle for index in last for handle in self._handles_by_stage.get(index, ())
         )
 
+    @property
+    def input_bytes(self) -> dict[str, int]:
+        """Bytes of the inputs by the address of the upstream that keeps them."""
+        size_by_address: dict[str, int] = {}
+        for index, handles in self._handles_by_stage.items():
+            for handle in handles:
+                address = handle_address(handle)
+                size = size_by_address.get(address, 0)
+                size += self._stages[index].result_bytes
+                size_by_address[address] = size
+        return size_by_address
+
     async def make(self) -> StageFailed | None:
         """Make all stages; those that read no common stage run at the same time."""
         if not any(self._pieces(index) for index in range(len(self._stages))):
@@ -91,7 +104,7 @@
         self, index: int, done: list[trio.Event], scope: trio.CancelScope
     ) -> None:
         stage = self._stages[index]
-        for before in stage.after:
+        for before in (*stage.after, *self._two_levels_above(index)):
             await done[before].wait()
         count = self._pieces(index)
         if count:
@@ -137,6 +150,30 @@
             result_bytes=stage.result_bytes,
         )
 
+    def _two_levels_above(self, index: int) -> list[int]:
+        """List the stages for which a stage that keeps memory waits.
+
+        Large results that are made long before the others only hold memory that
+        other requests need.
+        """
+        if self._stages[index].result_bytes < LARGE_RESULT_BYTES:
+            return []
+        level = self._level(index)
+        return [
+            number
+            for number in range(len(self._stages))
+            if self._pieces(number) and self._level(number) >= level + 2
+        ]
+
+    def _level(self, index: int) -> int:
+        """Return the number of stages in a row that follow a stage."""
+        readers = (
+            self._level(number) + 1
+            for number, stage in enumerate(self._stages)
+            if index in stage.after
+        )
+        return max(readers, default=0)
+
     def _pieces(self, index: int) -> int:
         counts = self._request.piece_counts
         return counts[index] if index < len(counts) else 0
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -292,6 +292,8 @@
             requests=",".join(attempts),
             outcome=type(outcome).__name__,
             elapsed_s=elapsed_s,
+            waiting=len(self._queues_by_service[service]),
+            used_bytes=self._state(batch.upstream_id).used_bytes(now_s=self._clock()),
         )
 
     def _settle(
@@ -310,6 +312,8 @@
                 self._settle_answer(batch, body, state, now_s)
             case Refused():
                 state.paused_until_s = now_s + _NO_ROOM_PAUSE_S
+                for ref in batch.pieces:
+                    ref.job.attempts_by_index[ref.index] -= 1
                 self._requeue(batch.pieces)
             case Answered() | Broken() | NotSent() | Silent() | StreamEnded():
                 state.paused_until_s = now_s + _FAILURE_PAUSE_S
@@ -342,6 +346,7 @@
                     self._fail(ref.job, StageProblem.INPUT_GONE)
                 case PieceProblem.NO_ROOM:
                     state.paused_until_s = now_s + _NO_ROOM_PAUSE_S
+                    ref.job.attempts_by_index[ref.index] -= 1
                     self._requeue((ref,))
                 case PieceProblem.ERROR:
                     self._requeue((ref,))
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -31,6 +31,8 @@
 #: Time after an outage of the store in which registrations that lapsed meanwhile may
 #: come back, in seconds.
 LAPSE_GRACE_S = 1.9
+#: Results from which on the way between failure domains counts, in bytes.
+LARGE_RESULT_BYTES = 500_000
 
 #: Reports a change of what the daemon knows: an event name and its fields.
 Report = Callable[[str, Mapping[str, object]], None]
@@ -89,6 +91,26 @@
         )
         return [each for each in known if self._takes_work(each.registration)]
 
+    def domain_of_most(
+        self, bytes_by_address: Mapping[str, int]
+    ) -> FailureDomainName | None:
+        """Return the failure domain that keeps most of some large results.
+
+        :param bytes_by_address: Bytes by the address of the upstream that keeps them.
+        :returns: None if the results are small.
+        """
+        bytes_by_domain: dict[FailureDomainName, int] = {}
+        for known in self._upstreams_by_id.values():
+            registration = known.registration
+            address = f"{registration.host}:{registration.port}"
+            size = bytes_by_address.get(address, 0)
+            domain = registration.failure_domain
+            bytes_by_domain[domain] = bytes_by_domain.get(domain, 0) + size
+        most = max(bytes_by_domain, key=bytes_by_domain.__getitem__, default=None)
+        if most is None or bytes_by_domain[most] < LARGE_RESULT_BYTES:
+            return None
+        return most
+
     def may_get_work(self, registration: RegisteredUpstream, *, now_s: float) -> bool:
         """Tell whether an upstream that was chosen before may still get new work.
 
--- a/galenashift/model/_gateway.py
+++ b/galenashift/model/_gateway.py
@@ -13,6 +13,8 @@
 
 #: Rank of a request whose route and organisation give none; 0 is the highest.
 DEFAULT_RANK = 5
+#: Shortest silence after which callers abandon a stream, in seconds.
+_MIN_PATIENCE_S = 2.0
 
 
 class RequestKind(Enum):
@@ -62,6 +64,13 @@
     prefix_cached: bool = False
     #: Whether a broken stream may continue at another upstream.
     resumable: bool = False
+    #: Longest pause of a stream that is on time, in seconds.
+    gap_s: float = 0.0
+
+    @property
+    def patience_s(self) -> float:
+        """Time after which callers abandon a stream that is silent, in seconds."""
+        return max(_MIN_PATIENCE_S, 4 * self.goal_s, 8 * self.gap_s)
 
     @property
     def repeatable(self) -> bool:
--- a/galenashift/platform/_records.py
+++ b/galenashift/platform/_records.py
@@ -89,6 +89,7 @@
         public=bool(data.get("no_auth", False)),
         prefix_cached=bool(data.get("sticky", False)),
         resumable=bool(data.get("resumable", False)),
+        gap_s=float(data.get("gap_target_ms") or 0) / 1000,
     )
 
 
