Free stage results at the first event of the stream that reads them

Change: results are freed when the upstream's first event shows that it has read them; results in the making count as memory in use.

--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -78,6 +78,10 @@
 _SERVER_ERROR = 500
 
 
+def _nothing() -> None:
+    """Do nothing."""
+
+
 @dataclass(kw_only=True)
 class _Job:
     """A request on its way."""
@@ -231,7 +235,12 @@
             if failed is not None:
                 return _stage_failure(failed)
             near = self._view.domain_of_most(run.input_bytes)
-            return await self._send_until_done(job, responder, run.inputs, near)
+            # The upstream has read its inputs before the first event; only a stream
+            # that may resume elsewhere needs them again.
+            on_first_event = _nothing if job.route.resumable else run.release
+            return await self._send_until_done(
+                job, responder, run.inputs, near, on_first_event
+            )
         finally:
             run.release()
 
@@ -260,8 +269,13 @@
         responder: Responder,
         inputs: tuple[Handle, ...],
         near: FailureDomainName | None = None,
+        on_first_event: Callable[[], None] = _nothing,
     ) -> Failure | None:
-        writer = StreamWriter(responder=responder, last_id=job.fields.last_event_id)
+        writer = StreamWriter(
+            responder=responder,
+            last_id=job.fields.last_event_id,
+            on_first_event=on_first_event,
+        )
         while True:
             choice = await self._choose(job, near)
             if choice is None:
@@ -497,6 +511,7 @@
             upstream=upstream_id,
             outcome=_describe(outcome),
             elapsed_s=now_s - writer.sent_at_s,
+            first_byte_s=writer.first_byte_s,
             ejected=ejected,
         )
 
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -1,7 +1,7 @@
 """Makes stage results: one daemon gathers the pieces of many for one service."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 import trio
@@ -113,11 +113,13 @@
     slowness: float = 1.0
     paused_until_s: float = 0.0
     #: Size and end of life of the results that the upstream keeps.
-    results: dict[Handle, tuple[int, float]] | None = None
+    results: dict[Handle, tuple[int, float]] = field(default_factory=dict)
+    #: Bytes of the results that the present call makes.
+    pending_bytes: int = 0
 
     def used_bytes(self, *, now_s: float) -> float:
-        results = self.results or {}
-        return sum(size for size, ends_s in results.values() if ends_s > now_s)
+        kept = sum(size for size, ends_s in self.results.values() if ends_s > now_s)
+        return kept + self.pending_bytes
 
 
 class StageScheduler:
@@ -226,7 +228,7 @@
         return workers
 
     def _state(self, upstream_id: UpstreamId) -> _Upstream:
-        return self._upstreams_by_id.setdefault(upstream_id, _Upstream(results={}))
+        return self._upstreams_by_id.setdefault(upstream_id, _Upstream())
 
     def _pump(self, service: ServiceName) -> None:
         queue = self._queues_by_service[service]
@@ -241,6 +243,7 @@
             state = self._state(batch.upstream_id)
             expected_s = queue.call_s(len(batch.pieces)) * state.slowness
             state.busy = True
+            state.pending_bytes = sum(ref.job.result_bytes for ref in batch.pieces)
             state.free_at_s = now_s + expected_s
             nursery.start_soon(self._call, service, upstream, batch, expected_s)
 
@@ -257,6 +260,7 @@
             outcome = await self._exchange(upstream, batch, expected_s)
         finally:
             state.busy = False
+            state.pending_bytes = 0
         now_s = self._clock()
         self._log_call(service, batch, outcome, now_s - started_s)
         self._settle(service, batch, outcome, elapsed_s=now_s - started_s)
@@ -357,7 +361,6 @@
         self, ref: PieceRef, handle: Handle, upstream_id: UpstreamId, now_s: float
     ) -> None:
         state = self._state(upstream_id)
-        assert state.results is not None
         lifetime_s = self._lifetime_s(upstream_id)
         state.results[handle] = (ref.job.result_bytes, now_s + lifetime_s)
         self._owner_by_handle[handle] = upstream_id
@@ -416,7 +419,7 @@
                 self._drop_expired(state, now_s)
 
     def _drop_expired(self, state: _Upstream, now_s: float) -> None:
-        results = state.results or {}
+        results = state.results
         for handle, (_, ends_s) in list(results.items()):
             if ends_s <= now_s:
                 del results[handle]
@@ -467,7 +470,7 @@
                 outcome=type(outcome).__name__,
             )
             return
-        results = self._state(upstream_id).results or {}
+        results = self._state(upstream_id).results
         for handle in handles:
             results.pop(handle, None)
         self._pump(upstream.registration.service)
--- a/galenashift/gateway/_stream.py
+++ b/galenashift/gateway/_stream.py
@@ -16,13 +16,21 @@
 
     :param responder: Answer to the caller.
     :param last_id: Event after which the caller itself resumes.
+    :param on_first_event: Called once, when the first event has arrived.
     """
 
-    def __init__(self, *, responder: Responder, last_id: str | None) -> None:
+    def __init__(
+        self,
+        *,
+        responder: Responder,
+        last_id: str | None,
+        on_first_event: Callable[[], None] = lambda: None,
+    ) -> None:
         self._responder = responder
         self._events = EventSplitter()
         self._events.last_id = last_id
         self._head: AnswerHead | None = None
+        self._on_first_event = on_first_event
         self._clock: Callable[[], float] | None = None
         #: Boot-time clock at which the present exchange began, in seconds.
         self.sent_at_s = 0.0
@@ -52,6 +60,7 @@
             return False
         if not self.first_byte_s and self._clock is not None:
             self.first_byte_s = self._clock() - self.sent_at_s
+            self._on_first_event()
         await self._write(whole)
         return True
 
