End only the link when a peer closes its connection

Change: the reader's errors end the link; tests run links against peers that close, freeze and pause.

--- a/galenashift/gateway/_stage_link.py
+++ b/galenashift/gateway/_stage_link.py
@@ -258,8 +258,8 @@
         """Connect, and read results until the link breaks or is idle for long."""
         try:
             await self._run()
-        except (*_LINK_ERRORS, ConnectFailed):
-            # Each waiting job gets its own failure, which its request logs.
+        except ConnectFailed:
+            # As for a link that breaks later.
             pass
         finally:
             self.broken = True
@@ -275,7 +275,11 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._write, self._outbox, nursery.cancel_scope)
-                await self._read(frames)
+                try:
+                    await self._read(frames)
+                except _LINK_ERRORS:
+                    # Each waiting job gets its own failure, which its request logs.
+                    pass
                 nursery.cancel_scope.cancel()
         finally:
             with trio.CancelScope(shield=True):
--- /dev/null
+++ b/galenashift/gateway/tests/test_stage_link.py
@@ -0,0 +1,175 @@
+"""Links between daemons: jobs survive what happens to the other daemon."""
+
+import trio
+import trio.testing
+
+from galenashift.gateway._stage_link import StageLink, StageServer
+from galenashift.gateway._stage_queue import JobId, StageJob
+from galenashift.gateway._stage_scheduler import (
+    StageFailed,
+    StageMade,
+    StageOutcome,
+    StageProblem,
+)
+from galenashift.model import DaemonId, Handle, OrganisationId, ServiceName
+from galenashift.platform import Address, Piece
+
+_SERVICE = ServiceName("retrieval")
+
+
+def new_job(*, inputs: tuple[Handle, ...] | None = None) -> StageJob:
+    pieces = tuple(
+        Piece(attempt_id="a1", stage=2, index=index, key="k", inputs=inputs)
+        for index in range(2)
+    )
+    now_s = trio.current_time()
+    return StageJob(
+        job_id=JobId("a1/1"),
+        pieces=pieces,
+        due_s=now_s + 1.5,
+        deadline_s=now_s + 6.0,
+        tail_s=0.25,
+        rank=1,
+        organisation_id=OrganisationId("org"),
+        first=True,
+        result_bytes=3_000,
+    )
+
+
+class FakeScheduler:
+    """Answers each job after a while."""
+
+    def __init__(self, *, after_s: float = 0.0) -> None:
+        self.after_s = after_s
+        self.jobs: list[StageJob] = []
+        self.cancelled = 0
+        self.released: list[Handle] = []
+
+    async def make(self, *, service: ServiceName, job: StageJob) -> StageOutcome:
+        assert service == _SERVICE
+        self.jobs.append(job)
+        try:
+            await trio.sleep(self.after_s)
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+        return StageMade(handles=(Handle("h0"), Handle("h1")))
+
+    def release(self, handles):
+        self.released += handles
+
+
+class Listener:
+    """A daemon that gathers, on a loopback port."""
+
+    def __init__(self, handler) -> None:
+        self._handler = handler
+        self.address = Address(host="127.0.0.1", port=0)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.address = Address(host="127.0.0.1", port=port)
+        await trio.serve_listeners(self._handler, listeners, task_status=task_status)
+
+
+async def make_over_link(handler, use) -> object:
+    """Run `use(link)` over a link to a daemon with the handler."""
+    result: list[object] = []
+    async with trio.open_nursery() as nursery:
+        listener = Listener(handler)
+        await nursery.start(listener.run)
+        link = StageLink(
+            peer=DaemonId("d2"), address=listener.address, clock=trio.current_time
+        )
+        nursery.start_soon(link.run)
+        result.append(await use(link))
+        nursery.cancel_scope.cancel()
+    return result[0]
+
+
+def test_job_reaches_the_other_daemon_whole():
+    # A field that is lost on the way changes order, inputs or memory of a job.
+    scheduler = FakeScheduler()
+    server = StageServer(scheduler=scheduler, clock=trio.current_time)
+
+    async def use(link):
+        job = new_job(inputs=(Handle("x"),))
+        outcome = await link.make(service=_SERVICE, job=job)
+        return job, outcome
+
+    job, outcome = trio.run(make_over_link, server.serve, use)
+    assert outcome == StageMade(handles=(Handle("h0"), Handle("h1")))
+    (taken,) = scheduler.jobs
+    assert taken.pieces == job.pieces
+    assert abs(taken.due_s - job.due_s) < 0.1
+    assert abs(taken.deadline_s - job.deadline_s) < 0.1
+    assert (taken.tail_s, taken.rank, taken.first) == (0.25, 1, True)
+    assert taken.result_bytes == 3_000
+
+
+def test_closed_link_fails_its_jobs_and_nothing_else():
+    # The end of a peer's connection stopped the whole daemon.
+    async def close(stream):
+        await stream.receive_some(1)
+        await stream.aclose()
+
+    async def use(link):
+        return await link.make(service=_SERVICE, job=new_job())
+
+    outcome = trio.run(make_over_link, close, use)
+    assert outcome == StageFailed(problem=StageProblem.UNREACHABLE)
+
+
+def test_silent_peer_is_given_up_within_a_second():
+    # A frozen daemon keeps its connections open, and its jobs waited for it.
+    async def keep_silent(stream):
+        await trio.sleep_forever()
+
+    async def use(link):
+        with trio.fail_after(1.5):
+            return await link.make(service=_SERVICE, job=new_job())
+
+    outcome = trio.run(make_over_link, keep_silent, use)
+    assert outcome == StageFailed(problem=StageProblem.UNREACHABLE)
+
+
+def test_idle_link_takes_a_job_after_a_pause():
+    # Silence was counted while no job waited, so that links broke after each pause.
+    scheduler = FakeScheduler(after_s=0.3)
+    server = StageServer(scheduler=scheduler, clock=trio.current_time)
+
+    async def use(link):
+        await link.make(service=_SERVICE, job=new_job())
+        await trio.sleep(0.9)
+        return await link.make(service=_SERVICE, job=new_job())
+
+    assert isinstance(trio.run(make_over_link, server.serve, use), StageMade)
+
+
+def test_slow_job_keeps_its_link_alive():
+    # A job that takes longer than the silence allowed must not be made twice.
+    scheduler = FakeScheduler(after_s=1.2)
+    server = StageServer(scheduler=scheduler, clock=trio.current_time)
+
+    async def use(link):
+        return await link.make(service=_SERVICE, job=new_job())
+
+    assert isinstance(trio.run(make_over_link, server.serve, use), StageMade)
+    assert len(scheduler.jobs) == 1
+
+
+def test_cancelled_request_drops_its_pieces_at_the_other_daemon():
+    # Pieces of a caller that has left take the time of others.
+    scheduler = FakeScheduler(after_s=5.0)
+    server = StageServer(scheduler=scheduler, clock=trio.current_time)
+
+    async def use(link):
+        with trio.move_on_after(0.2):
+            await link.make(service=_SERVICE, job=new_job())
+        with trio.fail_after(1.0):
+            while not scheduler.cancelled:
+                await trio.sleep(0.01)
+
+    trio.run(make_over_link, server.serve, use)
+    assert scheduler.cancelled == 1
