Make stages where the bytes that they read or leave lie

Change: the queue prefers, for pieces that move many bytes, an upstream in the failure domain that saves most of them; the plan works on jobs, not on single pieces; the store's watch collects changes for 0.2 s.

--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -226,6 +226,7 @@
             config=job.config,
             request=self._staged_request(job),
             maker=self._stages,
+            locate=self._view.domain_of_most,
         )
         try:
             failed = await run.make()
@@ -261,8 +262,14 @@
                 job.deadline_s, job.request.arrived_at_s + job.route.patience_s
             ),
             final_s=self._times.first_byte_s(job.service),
+            domain=self._probable_domain(job),
         )
 
+    def _probable_domain(self, job: _Job) -> FailureDomainName | None:
+        """Return where the request would run if it were sent now."""
+        choice = self._choose_now(job, near=None)
+        return None if choice is None else choice.upstream.registration.failure_domain
+
     async def _send_until_done(
         self,
         job: _Job,
@@ -288,23 +295,25 @@
     async def _choose(self, job: _Job, near: FailureDomainName | None) -> Choice | None:
         wait_until_s = self._clock() + _WAIT_PART * job.route.goal_s
         while True:
-            now_s = self._clock()
-            choice = self._router.choose(
-                candidates=self._view.upstreams_of(job.service, now_s=now_s),
-                excluded=job.tried | job.unreachable,
-                prefix_key=(
-                    prefix_key(job.fields.prompt_parts)
-                    if job.route.prefix_cached
-                    else None
-                ),
-                daemon_count=self._view.daemon_count,
-                near=near,
-                now_s=now_s,
-            )
-            if choice is not None or now_s >= wait_until_s:
+            choice = self._choose_now(job, near=near)
+            if choice is not None or self._clock() >= wait_until_s:
                 return choice
             await trio.sleep(_POLL_S)
 
+    def _choose_now(
+        self, job: _Job, *, near: FailureDomainName | None
+    ) -> Choice | None:
+        now_s = self._clock()
+        parts = job.fields.prompt_parts if job.route.prefix_cached else ()
+        return self._router.choose(
+            candidates=self._view.upstreams_of(job.service, now_s=now_s),
+            excluded=job.tried | job.unreachable,
+            prefix_key=prefix_key(parts),
+            daemon_count=self._view.daemon_count,
+            near=near,
+            now_s=now_s,
+        )
+
     async def _send(
         self,
         job: _Job,
--- a/galenashift/gateway/_stage_link.py
+++ b/galenashift/gateway/_stage_link.py
@@ -1,11 +1,18 @@
 """Stage jobs between the daemon of a caller and the one that gathers their pieces."""
 
+import contextlib
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import trio
 
-from galenashift.model import DaemonId, Handle, OrganisationId, ServiceName
+from galenashift.model import (
+    DaemonId,
+    FailureDomainName,
+    Handle,
+    OrganisationId,
+    ServiceName,
+)
 from galenashift.peers import (
     MAX_FRAME_BYTES,
     CodecError,
@@ -62,6 +69,7 @@
         organisation=job.organisation_id,
         first=job.first,
         result_bytes=job.result_bytes,
+        domain=job.domain,
     )
 
 
@@ -87,6 +95,7 @@
         organisation_id=OrganisationId(message.organisation or ""),
         first=bool(message.first),
         result_bytes=message.result_bytes,
+        domain=(None if message.domain is None else FailureDomainName(message.domain)),
     )
 
 
@@ -275,11 +284,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._write, self._outbox, nursery.cancel_scope)
-                try:
+                # Each waiting job gets its own failure, which its request logs.
+                with contextlib.suppress(*_LINK_ERRORS):
                     await self._read(frames)
-                except _LINK_ERRORS:
-                    # Each waiting job gets its own failure, which its request logs.
-                    pass
                 nursery.cancel_scope.cancel()
         finally:
             with trio.CancelScope(shield=True):
--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -9,13 +9,21 @@
 from dataclasses import dataclass, field
 from typing import NewType
 
-from galenashift.model import Handle, OrganisationId, PieceLimits, UpstreamId
+from galenashift.model import (
+    FailureDomainName,
+    Handle,
+    OrganisationId,
+    PieceLimits,
+    UpstreamId,
+)
 from galenashift.platform import Piece
 
 JobId = NewType("JobId", str)
 
 #: Time by which a lower rank is put back, in seconds.
 _RANK_DELAY_S = 0.4
+#: Delay that is accepted for a call in the better failure domain, in seconds.
+_OTHER_DOMAIN_COST_S = 0.05
 #: Results below this size never wait for memory, in bytes.
 _SMALL_RESULT_BYTES = 100_000
 #: Attempts at a piece before its request fails.
@@ -40,6 +48,8 @@
     first: bool
     #: Approximate size of one result, in bytes.
     result_bytes: int
+    #: Failure domain that saves the most bytes between domains, if it matters.
+    domain: FailureDomainName | None = None
     #: Results by piece.
     handles_by_index: dict[int, Handle] = field(default_factory=dict)
     #: Pieces that wait for a call.
@@ -66,6 +76,7 @@
     """A stage upstream as the plan sees it."""
 
     upstream_id: UpstreamId
+    domain: FailureDomainName
     #: Boot-time clock at which it is expected to be idle, in seconds.
     free_at_s: float
     #: Whether a call is in progress.
@@ -78,7 +89,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PieceRef:
-    """One waiting piece."""
+    """One piece of a job."""
 
     job: StageJob
     index: int
@@ -97,6 +108,14 @@
     pieces: tuple[PieceRef, ...]
 
 
+@dataclass(kw_only=True)
+class _Share:
+    """Pieces of a job that a plan has not given to an upstream yet."""
+
+    job: StageJob
+    indices: list[int]
+
+
 @dataclass(frozen=True, kw_only=True)
 class Hopeless:
     """A job that cannot be served before its deadline."""
@@ -137,21 +156,26 @@
         :param workers: Upstreams that take work.
         :param now_s: Boot-time clock, in seconds.
         """
-        wait_s = self._expected_wait_s(job, workers=workers, now_s=now_s)
-        end_s = now_s + wait_s + self.call_s(len(job.pieces)) + job.tail_s
-        if end_s <= job.deadline_s:
+        rest_s = self.call_s(len(job.pieces)) + job.tail_s
+        latest_s = job.deadline_s - rest_s
+        if now_s + self._wait_s(len(self), workers) <= latest_s:
+            return None
+        wait_s = self._wait_s(self._pieces_ahead(job, now_s), workers)
+        if now_s + wait_s <= latest_s:
             return None
         return Hopeless(job=job, retry_after_s=wait_s)
 
-    def _expected_wait_s(self, job: StageJob, *, workers: int, now_s: float) -> float:
+    def _wait_s(self, pieces: int, workers: int) -> float:
+        batch = self.limits.batch
+        return pieces / batch * self.call_s(batch) / max(1, workers)
+
+    def _pieces_ahead(self, job: StageJob, now_s: float) -> int:
         own = self._order_key(job, now_s)
-        ahead = sum(
+        return sum(
             len(each.waiting)
             for each in self._jobs_by_id.values()
             if self._order_key(each, now_s) <= own
         )
-        batch = self.limits.batch
-        return ahead / batch * self.call_s(batch) / max(1, workers)
 
     def take_hopeless(self, *, now_s: float) -> list[Hopeless]:
         """Remove the jobs that can no longer be served before their deadline.
@@ -177,19 +201,22 @@
         :param workers: Upstreams that take work.
         :param now_s: Boot-time clock, in seconds.
         """
+        idle = {each.upstream_id for each in workers if not each.busy}
+        if not idle:
+            return []
         free_at_s = {each.upstream_id: max(now_s, each.free_at_s) for each in workers}
         free_bytes = {each.upstream_id: each.free_bytes for each in workers}
-        idle = {each.upstream_id for each in workers if not each.busy}
-        refs = self._admitted(sum(free_bytes.values()), now_s)
+        shares = self._admitted(sum(free_bytes.values()), now_s)
         open_workers = list(workers)
         batches: list[Batch] = []
-        while refs and idle and open_workers:
-            worker, end_s = self._first_to_end(open_workers, free_at_s, refs)
-            taken = self._fitting(refs, free_bytes[worker.upstream_id])
+        while shares and idle and open_workers:
+            worker, end_s = self._first_to_end(open_workers, free_at_s, shares)
+            taken = self._fill(worker, shares, free_bytes[worker.upstream_id])
             if not taken:
                 open_workers.remove(worker)
+                idle.discard(worker.upstream_id)
                 continue
-            refs = [ref for ref in refs if ref not in taken]
+            shares = [share for share in shares if share.indices]
             free_at_s[worker.upstream_id] = end_s
             free_bytes[worker.upstream_id] -= sum(ref.job.result_bytes for ref in taken)
             if worker.upstream_id in idle:
@@ -197,12 +224,29 @@
                 batches.append(self._take(worker, taken))
         return batches
 
-    def _admitted(self, free_bytes: float, now_s: float) -> list[PieceRef]:
-        """List the pieces in order, as far as the memory for whole jobs reaches.
+    def _first_to_end(
+        self,
+        workers: Sequence[Worker],
+        free_at_s: dict[UpstreamId, float],
+        shares: Sequence[_Share],
+    ) -> tuple[Worker, float]:
+        pieces = min(sum(len(share.indices) for share in shares), self.limits.batch)
+        work_s = self.call_s(pieces)
+        first = shares[0].job
+
+        def cost_s(worker: Worker) -> float:
+            end_s = free_at_s[worker.upstream_id] + work_s * worker.slowness
+            return end_s + (0.0 if _is_near(first, worker) else _OTHER_DOMAIN_COST_S)
+
+        best = min(workers, key=cost_s)
+        return best, free_at_s[best.upstream_id] + work_s * best.slowness
+
+    def _admitted(self, free_bytes: float, now_s: float) -> list[_Share]:
+        """List the jobs in order, as far as the memory for whole jobs reaches.
 
         Two jobs that were half made could otherwise wait for each other's memory.
         """
-        refs: list[PieceRef] = []
+        shares: list[_Share] = []
         for job in self._ordered(now_s):
             need_bytes = len(job.waiting) * job.result_bytes
             if need_bytes > free_bytes and not job.begun:
@@ -211,35 +255,31 @@
                 if job.result_bytes >= _SMALL_RESULT_BYTES:
                     continue
             free_bytes -= need_bytes
-            refs += [PieceRef(job=job, index=index) for index in job.waiting]
-        return refs
+            shares.append(_Share(job=job, indices=list(job.waiting)))
+        return shares
+
+    def _fill(
+        self, worker: Worker, shares: Sequence[_Share], free_bytes: float
+    ) -> list[PieceRef]:
+        """Take the first pieces that an upstream has memory for, up to a batch.
 
-    def _fitting(self, refs: Sequence[PieceRef], free_bytes: float) -> list[PieceRef]:
-        """Return the first pieces that one upstream has memory for, up to a batch."""
+        Pieces that move many bytes are made in the failure domain that saves most of
+        them, as long as there are enough of these.
+        """
         taken: list[PieceRef] = []
-        for ref in refs:
-            if len(taken) == self.limits.batch:
-                break
-            if ref.job.result_bytes <= free_bytes:
-                free_bytes -= ref.job.result_bytes
-                taken.append(ref)
+        for wants_near in (True, False):
+            for share in shares:
+                if wants_near and not _is_near(share.job, worker):
+                    continue
+                while share.indices and len(taken) < self.limits.batch:
+                    if share.job.result_bytes > free_bytes:
+                        break
+                    free_bytes -= share.job.result_bytes
+                    taken.append(PieceRef(job=share.job, index=share.indices.pop(0)))
+                if len(taken) == self.limits.batch:
+                    return taken
         return taken
 
-    def _first_to_end(
-        self,
-        workers: Sequence[Worker],
-        free_at_s: dict[UpstreamId, float],
-        refs: Sequence[PieceRef],
-    ) -> tuple[Worker, float]:
-        pieces = min(len(refs), self.limits.batch)
-
-        def end_s(worker: Worker) -> float:
-            work_s = self.call_s(pieces) * worker.slowness
-            return free_at_s[worker.upstream_id] + work_s
-
-        best = min(workers, key=end_s)
-        return best, end_s(best)
-
     def _take(self, worker: Worker, refs: Iterable[PieceRef]) -> Batch:
         pieces = tuple(refs)
         for ref in pieces:
@@ -258,3 +298,8 @@
         late = now_s + rest_s > job.due_s
         start_by_s = job.due_s - job.tail_s
         return not job.begun, late, start_by_s + job.rank * _RANK_DELAY_S
+
+
+def _is_near(job: StageJob, worker: Worker) -> bool:
+    """Tell whether an upstream is a good place for the results of a job."""
+    return job.domain is None or worker.domain == job.domain
--- a/galenashift/gateway/_stage_run.py
+++ b/galenashift/gateway/_stage_run.py
@@ -1,13 +1,14 @@
 """The stages of one request, made in the order in which they read each other."""
 
 import itertools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 import trio
 
 from galenashift.model import (
+    FailureDomainName,
     Handle,
     OrganisationId,
     Route,
@@ -24,6 +25,10 @@
 _numbers = itertools.count(1)
 
 
+#: Finds the failure domain that keeps most bytes, from bytes by address.
+Locate = Callable[[Mapping[str, int]], FailureDomainName | None]
+
+
 class StageMaker(Protocol):
     """Makes stages, here or at the daemon that gathers their pieces."""
 
@@ -49,6 +54,8 @@
     deadline_s: float
     #: Expected time from the last stage to the first byte, in seconds.
     final_s: float
+    #: Failure domain of the upstream that will probably read the results.
+    domain: FailureDomainName | None
 
 
 class StageRun:
@@ -61,11 +68,13 @@
         config: RoutingConfig,
         request: StagedRequest,
         maker: StageMaker,
+        locate: Locate,
     ) -> None:
         self._stages = route.stages
         self._config = config
         self._request = request
         self._maker = maker
+        self._locate = locate
         self._handles_by_stage: dict[int, tuple[Handle, ...]] = {}
         self._failure: StageFailed | None = None
 
@@ -81,13 +90,15 @@
     @property
     def input_bytes(self) -> dict[str, int]:
         """Bytes of the inputs by the address of the upstream that keeps them."""
+        return self._bytes_by_address(self._handles_by_stage)
+
+    def _bytes_by_address(self, stages: Iterable[int]) -> dict[str, int]:
         size_by_address: dict[str, int] = {}
-        for index, handles in self._handles_by_stage.items():
-            for handle in handles:
+        for index in stages:
+            for handle in self._handles_by_stage.get(index, ()):
                 address = handle_address(handle)
                 size = size_by_address.get(address, 0)
-                size += self._stages[index].result_bytes
-                size_by_address[address] = size
+                size_by_address[address] = size + self._stages[index].result_bytes
         return size_by_address
 
     async def make(self) -> StageFailed | None:
@@ -148,6 +159,18 @@
             organisation_id=request.organisation_id,
             first=not self._handles_by_stage,
             result_bytes=stage.result_bytes,
+            domain=self._domain(stage, count),
+        )
+
+    def _domain(self, stage: StageSpec, count: int) -> FailureDomainName | None:
+        """Choose the failure domain of a stage by the bytes that it moves."""
+        if not stage.after:
+            large = stage.result_bytes >= LARGE_RESULT_BYTES
+            return self._request.domain if large else None
+        # Each piece reads all results of the stages before.
+        size_by_address = self._bytes_by_address(stage.after)
+        return self._locate(
+            {address: size * count for address, size in size_by_address.items()}
         )
 
     def _two_levels_above(self, index: int) -> list[int]:
@@ -216,6 +239,3 @@
 
 #: Failures after which the stages are made once more.
 REPEATABLE_PROBLEMS = frozenset({StageProblem.INPUT_GONE})
-
-#: Reads the boot-time clock, in seconds.
-Clock = Callable[[], float]
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -219,6 +219,7 @@
             workers.append(
                 Worker(
                     upstream_id=upstream_id,
+                    domain=each.registration.failure_domain,
                     free_at_s=state.free_at_s if state.busy else now_s,
                     busy=state.busy,
                     slowness=state.slowness,
--- a/galenashift/gateway/_store_watch.py
+++ b/galenashift/gateway/_store_watch.py
@@ -24,7 +24,9 @@
 #: Everything in the store is followed by one watch.
 _ALL_KEYS = ""
 #: Longest wait of a watch, in seconds; a silent connection is noticed soon after.
-_WATCH_WAIT_S = 1.3
+_WATCH_WAIT_S = 1.8
+#: Pause after changes, in seconds; those that follow come in one answer.
+_GATHER_S = 0.2
 #: Pause after a failed call, in seconds.
 _RETRY_S = 0.2
 #: Lifetime of this daemon's registration without a renewal, in seconds.
@@ -91,6 +93,8 @@
                     for change in changes.changes:
                         self._view.apply(change, now_s=self._clock())
                     revision = changes.revision
+                    if changes.changes:
+                        await trio.sleep(_GATHER_S)
 
     def _failed(self, failure: StoreFailure) -> None:
         self._metrics.count("store_failures_total", problem=failure.problem.value)
--- a/galenashift/peers/peers.thrift
+++ b/galenashift/peers/peers.thrift
@@ -157,6 +157,7 @@
   13: string organisation
   14: bool first
   15: i32 result_bytes
+  16: optional string domain
 }
 
 struct StageResult {
--- a/galenashift/platform/_store.py
+++ b/galenashift/platform/_store.py
@@ -19,7 +19,7 @@
 #: Time for a call that the store answers at once, in seconds.
 CALL_TIMEOUT_S = 1.0
 #: Time beyond a watch's own wait after which its connection counts as silent.
-WATCH_MARGIN_S = 0.8
+WATCH_MARGIN_S = 0.6
 
 _OK = 200
 _NOT_FOUND = 404
