Let the prompt's prefix alone choose the upstream of a stream

Change: the domain of the inputs no longer overrides the prefix; the second choice is taken at three times the cost.

--- a/galenashift/gateway/_choice.py
+++ b/galenashift/gateway/_choice.py
@@ -24,7 +24,7 @@
 #: Failure rate up to which a failure costs one more latency.
 _MAX_FAILURE_RATE = 0.9
 #: Relative cost at which the upstream with the cached prompt is passed over.
-_AFFINITY_FACTOR = 2.0
+_AFFINITY_FACTOR = 3.0
 #: Upstreams that share the requests of one prompt prefix.
 _AFFINITY_CHOICES = 2
 
@@ -59,7 +59,6 @@
         excluded: Collection[UpstreamId],
         prefix_key: str | None,
         daemon_count: int,
-        near: FailureDomainName | None,
         now_s: float,
     ) -> Choice | None:
         """Choose an upstream, or None if no upstream can take the request.
@@ -68,7 +67,6 @@
         :param excluded: Upstreams that have been tried.
         :param prefix_key: Key of the shared prompt, see `prefix_key`.
         :param daemon_count: Daemons that send to the same upstreams.
-        :param near: Failure domain that keeps large inputs of the request.
         :param now_s: Boot-time clock, in seconds.
         """
         fresh = [
@@ -77,9 +75,6 @@
         eligible = [each for each in fresh if self._eligible(each, daemon_count, now_s)]
         if not eligible:
             return None
-        eligible = [
-            each for each in eligible if each.registration.failure_domain == near
-        ] or eligible
         cost_by_id = {
             each.registration.upstream_id: self._cost_s(each, now_s)
             for each in eligible
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -235,12 +235,11 @@
                 failed = await run.make()
             if failed is not None:
                 return _stage_failure(failed)
-            near = self._view.domain_of_most(run.input_bytes)
             # The upstream has read its inputs before the first event; only a stream
             # that may resume elsewhere needs them again.
             on_first_event = _nothing if job.route.resumable else run.release
             return await self._send_until_done(
-                job, responder, run.inputs, near, on_first_event
+                job, responder, run.inputs, on_first_event
             )
         finally:
             run.release()
@@ -267,7 +266,7 @@
 
     def _probable_domain(self, job: _Job) -> FailureDomainName | None:
         """Return where the request would run if it were sent now."""
-        choice = self._choose_now(job, near=None)
+        choice = self._choose_now(job)
         return None if choice is None else choice.upstream.registration.failure_domain
 
     async def _send_until_done(
@@ -275,7 +274,6 @@
         job: _Job,
         responder: Responder,
         inputs: tuple[Handle, ...],
-        near: FailureDomainName | None = None,
         on_first_event: Callable[[], None] = _nothing,
     ) -> Failure | None:
         writer = StreamWriter(
@@ -284,7 +282,7 @@
             on_first_event=on_first_event,
         )
         while True:
-            choice = await self._choose(job, near)
+            choice = await self._choose(job)
             if choice is None:
                 return await self._without_upstream(job, responder, writer)
             outcome = await self._send(job, choice, writer, inputs)
@@ -292,17 +290,15 @@
             if not isinstance(result, _SendAgain):
                 return result
 
-    async def _choose(self, job: _Job, near: FailureDomainName | None) -> Choice | None:
+    async def _choose(self, job: _Job) -> Choice | None:
         wait_until_s = self._clock() + _WAIT_PART * job.route.goal_s
         while True:
-            choice = self._choose_now(job, near=near)
+            choice = self._choose_now(job)
             if choice is not None or self._clock() >= wait_until_s:
                 return choice
             await trio.sleep(_POLL_S)
 
-    def _choose_now(
-        self, job: _Job, *, near: FailureDomainName | None
-    ) -> Choice | None:
+    def _choose_now(self, job: _Job) -> Choice | None:
         now_s = self._clock()
         parts = job.fields.prompt_parts if job.route.prefix_cached else ()
         return self._router.choose(
@@ -310,7 +306,6 @@
             excluded=job.tried | job.unreachable,
             prefix_key=prefix_key(parts),
             daemon_count=self._view.daemon_count,
-            near=near,
             now_s=now_s,
         )
 
--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -271,6 +271,9 @@
             for share in shares:
                 if wants_near and not _is_near(share.job, worker):
                     continue
+                room = self.limits.batch - len(taken)
+                if share is not shares[0] and self._splits(share, room, free_bytes):
+                    continue
                 while share.indices and len(taken) < self.limits.batch:
                     if share.job.result_bytes > free_bytes:
                         break
@@ -280,6 +283,18 @@
                     return taken
         return taken
 
+    def _splits(self, share: _Share, room: int, free_bytes: float) -> bool:
+        """Tell whether a call would make only some large results of a job.
+
+        They would hold memory until the others are made too.
+        """
+        pieces = len(share.indices)
+        if share.job.result_bytes < _SMALL_RESULT_BYTES:
+            return False
+        if pieces > self.limits.batch:
+            return False
+        return pieces > room or pieces * share.job.result_bytes > free_bytes
+
     def _take(self, worker: Worker, refs: Iterable[PieceRef]) -> Batch:
         pieces = tuple(refs)
         for ref in pieces:
--- a/galenashift/gateway/_stage_run.py
+++ b/galenashift/gateway/_stage_run.py
@@ -87,11 +87,6 @@
             handle for index in last for handle in self._handles_by_stage.get(index, ())
         )
 
-    @property
-    def input_bytes(self) -> dict[str, int]:
-        """Bytes of the inputs by the address of the upstream that keeps them."""
-        return self._bytes_by_address(self._handles_by_stage)
-
     def _bytes_by_address(self, stages: Iterable[int]) -> dict[str, int]:
         size_by_address: dict[str, int] = {}
         for index in stages:
