Refuse requests whose stages cannot end in time, and order late jobs by rank

Change: a gatherer states its waits with each result; a request whose whole way ends after its deadline is refused before its first stage; late jobs go by rank first.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -89,6 +89,7 @@
             view=self._view,
             events=self._events,
         )
+        times = ServiceTimes()
         exchanger = Exchanger(pool=self._pool, clock=clock)
         self._scheduler = StageScheduler(
             view=self._view,
@@ -103,6 +104,7 @@
             view=self._view,
             scheduler=self._scheduler,
             events=self._events,
+            times=times,
             clock=clock,
         )
         self._stage_server = StageServer(scheduler=self._scheduler, clock=clock)
@@ -127,7 +129,7 @@
             budgets=RetryBudgets(
                 bounds=settings.bounds, daemon_count=lambda: self._view.daemon_count
             ),
-            times=ServiceTimes(),
+            times=times,
             events=self._events,
             metrics=self._metrics,
             clock=clock,
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -227,7 +227,11 @@
             request=self._staged_request(job),
             maker=self._stages,
             locate=self._view.domain_of_most,
+            wait=lambda service: self._times.wait(service, now_s=self._clock()),
         )
+        refused = run.refusal(now_s=self._clock())
+        if refused is not None:
+            return _stage_failure(refused)
         try:
             failed = await run.make()
             if failed is not None and failed.problem in REPEATABLE_PROBLEMS:
--- a/galenashift/gateway/_stage_client.py
+++ b/galenashift/gateway/_stage_client.py
@@ -16,6 +16,7 @@
     StageProblem,
     StageScheduler,
 )
+from ._times import ServiceTimes
 from ._view import PlatformView
 
 #: Time in which a daemon that did not answer gathers nothing for this one, in seconds.
@@ -41,8 +42,10 @@
         view: PlatformView,
         scheduler: StageScheduler,
         events: EventLog,
+        times: ServiceTimes,
         clock: Callable[[], float],
     ) -> None:
+        self._times = times
         self._daemon_id = daemon_id
         self._view = view
         self._scheduler = scheduler
@@ -68,7 +71,11 @@
             if outcome != StageFailed(problem=StageProblem.UNREACHABLE):
                 return outcome
             self._suspect(gatherer)
-        return await self._scheduler.make(service=service, job=job)
+        outcome = await self._scheduler.make(service=service, job=job)
+        wait = self._scheduler.expected_wait(service)
+        if wait is not None:
+            self._times.record_wait(service, wait, now_s=self._clock())
+        return outcome
 
     def release(self, service: ServiceName, handles: Sequence[Handle]) -> None:
         """Free results that no request needs any more."""
@@ -92,7 +99,9 @@
         address = self._view.peers_by_id[peer]
         link = self._links_by_id.get(peer)
         if link is None or link.broken or link.address != address:
-            link = StageLink(peer=peer, address=address, clock=self._clock)
+            link = StageLink(
+                peer=peer, address=address, clock=self._clock, times=self._times
+            )
             self._links_by_id[peer] = link
             assert self._nursery is not None
             self._nursery.start_soon(link.run)
--- a/galenashift/gateway/_stage_link.py
+++ b/galenashift/gateway/_stage_link.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 from typing import Any
 
 import trio
@@ -34,6 +35,7 @@
     StageProblem,
     StageScheduler,
 )
+from ._times import ServiceTimes, StageWait
 
 #: Time between frames that tell that the sender is alive, in seconds.
 _BEAT_S = 0.2
@@ -44,6 +46,7 @@
 #: Frames that wait to be written; more mean that the peer does not read.
 _MAX_PENDING_FRAMES = 1_000
 
+_UNREACHABLE = StageFailed(problem=StageProblem.UNREACHABLE)
 _LINK_ERRORS = (FrameError, ConnectionEnded, CodecError)
 
 
@@ -99,10 +102,16 @@
     )
 
 
-def _encode_result(job_id: int, outcome: StageOutcome) -> Any:
+def _encode_result(job_id: int, outcome: StageOutcome, wait: StageWait | None) -> Any:
+    waits = {}
+    if wait is not None:
+        waits = {
+            "on_time_wait_ms": _milliseconds(wait.on_time_s),
+            "late_wait_ms": _milliseconds(wait.late_s),
+        }
     match outcome:
         case StageMade(handles=handles):
-            return idl.StageResult(job_id=job_id, handles=list(handles))
+            return idl.StageResult(job_id=job_id, handles=list(handles), **waits)
         case StageFailed(problem=problem, retry_after_s=retry_after_s):
             return idl.StageResult(
                 job_id=job_id,
@@ -111,6 +120,7 @@
                 retry_after_ms=(
                     None if retry_after_s is None else _milliseconds(retry_after_s)
                 ),
+                **waits,
             )
 
 
@@ -234,30 +244,47 @@
         with trio.CancelScope() as scope:
             self._scopes_by_id[message.job_id] = scope
             try:
-                outcome = await self._scheduler.make(
-                    service=ServiceName(message.stage_service), job=job
-                )
+                service = ServiceName(message.stage_service)
+                outcome = await self._scheduler.make(service=service, job=job)
             finally:
                 del self._scopes_by_id[message.job_id]
-            result = _encode_result(message.job_id, outcome)
+            wait = self._scheduler.expected_wait(service)
+            result = _encode_result(message.job_id, outcome, wait)
             self._outbox.post(idl.StageFrame(result=result))
 
 
+@dataclass(kw_only=True)
+class _Waiter:
+    """A request that waits for its job."""
+
+    service: ServiceName
+    done: trio.Event = field(default_factory=trio.Event)
+    #: Holds if the link breaks.
+    outcome: StageOutcome = _UNREACHABLE
+
+
 class StageLink:
     """A link to the daemon that gathers the pieces of some services.
 
     :param peer: The other daemon.
     :param clock: Boot-time clock.
+    :param times: Learns the waits that the peer states.
     """
 
     def __init__(
-        self, *, peer: DaemonId, address: Address, clock: Callable[[], float]
+        self,
+        *,
+        peer: DaemonId,
+        address: Address,
+        clock: Callable[[], float],
+        times: ServiceTimes,
     ) -> None:
+        self._times = times
         self.peer = peer
         self.address = address
         self._clock = clock
         self._outbox: _Outbox | None = None
-        self._waiters_by_id: dict[int, tuple[trio.Event, list[StageOutcome]]] = {}
+        self._waiters_by_id: dict[int, _Waiter] = {}
         self._numbers = 0
         self._waiting_since_s = 0.0
         self._opened = trio.Event()
@@ -273,8 +300,8 @@
         finally:
             self.broken = True
             self._opened.set()
-            for event, _ in self._waiters_by_id.values():
-                event.set()
+            for waiter in self._waiters_by_id.values():
+                waiter.done.set()
 
     async def _run(self) -> None:
         sock = await open_socket(host=self.address.host, port=self.address.port)
@@ -320,9 +347,16 @@
         if frame.result is None:
             return
         waiter = self._waiters_by_id.get(frame.result.job_id)
-        if waiter is not None:
-            waiter[1].append(_decode_result(frame.result))
-            waiter[0].set()
+        if waiter is None:
+            return
+        if frame.result.late_wait_ms is not None:
+            wait = StageWait(
+                on_time_s=frame.result.on_time_wait_ms / 1000,
+                late_s=frame.result.late_wait_ms / 1000,
+            )
+            self._times.record_wait(waiter.service, wait, now_s=self._clock())
+        waiter.outcome = _decode_result(frame.result)
+        waiter.done.set()
 
     async def make(self, *, service: ServiceName, job: StageJob) -> StageOutcome:
         """Let the peer make a job.
@@ -331,27 +365,25 @@
         """
         await self._opened.wait()
         if self.broken or self._outbox is None:
-            return StageFailed(problem=StageProblem.UNREACHABLE)
+            return _UNREACHABLE
         self._numbers += 1
         number = self._numbers
-        event, outcomes = trio.Event(), list[StageOutcome]()
+        waiter = _Waiter(service=service)
         if not self._waiters_by_id:
             self._waiting_since_s = self._clock()
-        self._waiters_by_id[number] = (event, outcomes)
+        self._waiters_by_id[number] = waiter
         message = _encode_job(number, service, job, self._clock())
         try:
             self._outbox.post(idl.StageFrame(job=message))
-            await event.wait()
+            await waiter.done.wait()
         except FrameError:
-            return StageFailed(problem=StageProblem.UNREACHABLE)
+            return _UNREACHABLE
         except trio.Cancelled:
             self._post(idl.StageFrame(cancelled_job_id=number))
             raise
         finally:
             del self._waiters_by_id[number]
-        if not outcomes:
-            return StageFailed(problem=StageProblem.UNREACHABLE)
-        return outcomes[0]
+        return waiter.outcome
 
     def release(self, handles: Sequence[Handle]) -> None:
         """Let the peer free results."""
--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -18,6 +18,8 @@
 )
 from galenashift.platform import Piece
 
+from ._times import StageWait
+
 JobId = NewType("JobId", str)
 
 #: Time by which a lower rank is put back, in seconds.
@@ -165,6 +167,25 @@
             return None
         return Hopeless(job=job, retry_after_s=wait_s)
 
+    def expected_wait(self, *, workers: int, now_s: float) -> StageWait:
+        """Return the wait of a new job.
+
+        :param workers: Upstreams that take work.
+        :param now_s: Boot-time clock, in seconds.
+        """
+        pieces = len(self)
+        on_time = pieces
+        if pieces > self.limits.batch:
+            on_time = sum(
+                len(job.waiting)
+                for job in self._jobs_by_id.values()
+                if not self._is_late(job, now_s)
+            )
+        return StageWait(
+            on_time_s=self._wait_s(on_time, workers),
+            late_s=self._wait_s(pieces, workers),
+        )
+
     def _wait_s(self, pieces: int, workers: int) -> float:
         batch = self.limits.batch
         return pieces / batch * self.call_s(batch) / max(1, workers)
@@ -308,11 +329,15 @@
         jobs.sort(key=lambda job: self._order_key(job, now_s))
         return jobs
 
-    def _order_key(self, job: StageJob, now_s: float) -> tuple[bool, bool, float]:
-        rest_s = self.call_s(len(job.waiting)) + job.tail_s
-        late = now_s + rest_s > job.due_s
+    def _order_key(self, job: StageJob, now_s: float) -> tuple[bool, int, float]:
+        """Sort key: begun jobs, those that can be on time, then late ones by rank."""
+        late_rank = 1 + job.rank if self._is_late(job, now_s) else 0
         start_by_s = job.due_s - job.tail_s
-        return not job.begun, late, start_by_s + job.rank * _RANK_DELAY_S
+        return not job.begun, late_rank, start_by_s + job.rank * _RANK_DELAY_S
+
+    def _is_late(self, job: StageJob, now_s: float) -> bool:
+        rest_s = self.call_s(len(job.waiting)) + job.tail_s
+        return now_s + rest_s > job.due_s
 
 
 def _is_near(job: StageJob, worker: Worker) -> bool:
--- a/galenashift/gateway/_stage_run.py
+++ b/galenashift/gateway/_stage_run.py
@@ -20,11 +20,14 @@
 
 from ._stage_queue import JobId, StageJob
 from ._stage_scheduler import StageFailed, StageMade, StageOutcome, StageProblem
+from ._times import StageWait
 from ._view import LARGE_RESULT_BYTES
 
 _numbers = itertools.count(1)
 
 
+#: Returns the expected wait at a stage service.
+WaitOf = Callable[[ServiceName], StageWait]
 #: Finds the failure domain that keeps most bytes, from bytes by address.
 Locate = Callable[[Mapping[str, int]], FailureDomainName | None]
 
@@ -69,12 +72,14 @@
         request: StagedRequest,
         maker: StageMaker,
         locate: Locate,
+        wait: WaitOf,
     ) -> None:
         self._stages = route.stages
         self._config = config
         self._request = request
         self._maker = maker
         self._locate = locate
+        self._wait = wait
         self._handles_by_stage: dict[int, tuple[Handle, ...]] = {}
         self._failure: StageFailed | None = None
 
@@ -96,6 +101,30 @@
                 size_by_address[address] = size + self._stages[index].result_bytes
         return size_by_address
 
+    def refusal(self, *, now_s: float) -> StageFailed | None:
+        """Tell whether the stages cannot be made before the deadline.
+
+        A request that can be on time waits for those before it only, another one for
+        all.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        request = self._request
+        if now_s + self._total_s(late=False) <= request.due_s:
+            return None
+        excess_s = now_s + self._total_s(late=True) - request.deadline_s
+        if excess_s <= 0:
+            return None
+        return StageFailed(problem=StageProblem.LATE, retry_after_s=excess_s)
+
+    def _total_s(self, *, late: bool) -> float:
+        starts = range(len(self._stages))
+        longest_s = max(
+            self._step_s(index, late=late) + self._after_s(index, late=late)
+            for index in starts
+        )
+        return longest_s + self._request.final_s
+
     async def make(self) -> StageFailed | None:
         """Make all stages; those that read no common stage run at the same time."""
         if not any(self._pieces(index) for index in range(len(self._stages))):
@@ -149,7 +178,7 @@
             pieces=pieces,
             due_s=request.due_s,
             deadline_s=request.deadline_s,
-            tail_s=self._after_s(index) + request.final_s,
+            tail_s=self._after_s(index, late=False) + request.final_s,
             rank=request.rank,
             organisation_id=request.organisation_id,
             first=not self._handles_by_stage,
@@ -196,20 +225,25 @@
         counts = self._request.piece_counts
         return counts[index] if index < len(counts) else 0
 
-    def _after_s(self, index: int) -> float:
+    def _after_s(self, index: int, *, late: bool) -> float:
         """Return the expected time of the stages that follow one, in seconds."""
-        longest_s = 0.0
-        for number, stage in enumerate(self._stages):
-            if index in stage.after:
-                own_s = self._call_s(stage.service, self._pieces(number))
-                longest_s = max(longest_s, own_s + self._after_s(number))
-        return longest_s
-
-    def _call_s(self, service: ServiceName, pieces: int) -> float:
+        times_s = (
+            self._step_s(number, late=late) + self._after_s(number, late=late)
+            for number, stage in enumerate(self._stages)
+            if index in stage.after
+        )
+        return max(times_s, default=0.0)
+
+    def _step_s(self, index: int, *, late: bool) -> float:
+        """Return the expected time of one stage with its wait, in seconds."""
+        service = self._stages[index].service
+        pieces = self._pieces(index)
         details = self._config.services_by_name.get(service)
         if details is None or details.pieces is None or pieces == 0:
             return 0.0
-        return details.pieces.call_s + pieces * details.pieces.piece_s
+        wait = self._wait(service)
+        wait_s = wait.late_s if late else wait.on_time_s
+        return wait_s + details.pieces.call_s + pieces * details.pieces.piece_s
 
     def _release_read(self, done: list[trio.Event]) -> None:
         for index, stage in enumerate(self._stages):
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -47,6 +47,7 @@
     StageQueue,
     Worker,
 )
+from ._times import StageWait
 from ._view import KnownUpstream, PlatformView
 
 #: Working time of a call, as a multiple of the expected one, after which its
@@ -190,6 +191,15 @@
             del self._done_by_id[job.job_id]
         return outcomes[0]
 
+    def expected_wait(self, service: ServiceName) -> StageWait | None:
+        """Return the wait of a new job, None for an unknown service."""
+        queue = self._queue(service)
+        if queue is None:
+            return None
+        now_s = self._clock()
+        workers = len(self._view.upstreams_of(service, now_s=now_s))
+        return queue.expected_wait(workers=workers, now_s=now_s)
+
     def release(self, handles: Sequence[Handle]) -> None:
         """Free results that no request needs any more."""
         self._to_free += handles
--- a/galenashift/gateway/tests/test_stage_link.py
+++ b/galenashift/gateway/tests/test_stage_link.py
@@ -11,6 +11,7 @@
     StageOutcome,
     StageProblem,
 )
+from galenashift.gateway._times import ServiceTimes, StageWait
 from galenashift.model import DaemonId, Handle, OrganisationId, ServiceName
 from galenashift.platform import Address, Piece
 
@@ -55,6 +56,9 @@
             raise
         return StageMade(handles=(Handle("h0"), Handle("h1")))
 
+    def expected_wait(self, service):
+        return StageWait(on_time_s=0.25, late_s=1.5)
+
     def release(self, handles):
         self.released += handles
 
@@ -73,14 +77,17 @@
         await trio.serve_listeners(self._handler, listeners, task_status=task_status)
 
 
-async def make_over_link(handler, use) -> object:
+async def make_over_link(handler, use, times=None) -> object:
     """Run `use(link)` over a link to a daemon with the handler."""
     result: list[object] = []
     async with trio.open_nursery() as nursery:
         listener = Listener(handler)
         await nursery.start(listener.run)
         link = StageLink(
-            peer=DaemonId("d2"), address=listener.address, clock=trio.current_time
+            peer=DaemonId("d2"),
+            address=listener.address,
+            clock=trio.current_time,
+            times=times or ServiceTimes(),
         )
         nursery.start_soon(link.run)
         result.append(await use(link))
@@ -173,3 +180,16 @@
 
     trio.run(make_over_link, server.serve, use)
     assert scheduler.cancelled == 1
+
+
+def test_results_tell_how_long_new_jobs_wait():
+    # Without it, requests begin stages that they cannot end before their deadline.
+    server = StageServer(scheduler=FakeScheduler(), clock=trio.current_time)
+    times = ServiceTimes()
+
+    async def use(link):
+        await link.make(service=_SERVICE, job=new_job())
+        return times.wait(_SERVICE, now_s=trio.current_time())
+
+    wait = trio.run(make_over_link, server.serve, use, times)
+    assert wait == StageWait(on_time_s=0.25, late_s=1.5)
--- a/galenashift/peers/peers.thrift
+++ b/galenashift/peers/peers.thrift
@@ -165,6 +165,8 @@
   2: list<string> handles
   3: string problem
   4: i32 retry_after_ms
+  5: i32 on_time_wait_ms
+  6: i32 late_wait_ms
 }
 
 // One frame between a daemon and the one that gathers; a frame without fields tells
