Measure small results by the memory of their upstream, and back off from a full one

Change: a result is small below 0.2% of the memory of its upstream; an upstream without room gets no other results for 0.08 s, doubled up to 0.6 s.

--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -26,8 +26,8 @@
 _RANK_DELAY_S = 0.4
 #: Delay that is accepted for a call in the better failure domain, in seconds.
 _OTHER_DOMAIN_COST_S = 0.05
-#: Results below this size never wait for memory, in bytes.
-_SMALL_RESULT_BYTES = 100_000
+#: Part of an upstream's memory below which a result never waits for memory.
+SMALL_RESULT_PART = 0.002
 #: Attempts at a piece before its request fails.
 MAX_PIECE_ATTEMPTS = 3
 
@@ -273,7 +273,7 @@
             if need_bytes > free_bytes and not job.begun:
                 # Later jobs with large results wait too, or large jobs never start.
                 free_bytes = min(free_bytes, 0.0)
-                if job.result_bytes >= _SMALL_RESULT_BYTES:
+                if not self._is_small(job):
                     continue
             free_bytes -= need_bytes
             shares.append(_Share(job=job, indices=list(job.waiting)))
@@ -310,7 +310,7 @@
         They would hold memory until the others are made too.
         """
         pieces = len(share.indices)
-        if share.job.result_bytes < _SMALL_RESULT_BYTES:
+        if self._is_small(share.job):
             return False
         if pieces > self.limits.batch:
             return False
@@ -335,6 +335,9 @@
         start_by_s = job.due_s - job.tail_s
         return not job.begun, late_rank, start_by_s + job.rank * _RANK_DELAY_S
 
+    def _is_small(self, job: StageJob) -> bool:
+        return job.result_bytes < SMALL_RESULT_PART * self.limits.result_bytes
+
     def _is_late(self, job: StageJob, now_s: float) -> bool:
         rest_s = self.call_s(len(job.waiting)) + job.tail_s
         return now_s + rest_s > job.due_s
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -40,6 +40,7 @@
 from ._health import HealthBook
 from ._stage_queue import (
     MAX_PIECE_ATTEMPTS,
+    SMALL_RESULT_PART,
     Batch,
     JobId,
     PieceRef,
@@ -57,8 +58,12 @@
 _WAY_S = 0.3
 #: Time without calls after a failed call, in seconds.
 _FAILURE_PAUSE_S = 0.6
-#: Time without calls after an upstream had no room, in seconds.
-_NO_ROOM_PAUSE_S = 0.15
+#: Time without calls after an upstream refused one, in seconds.
+_REFUSED_PAUSE_S = 0.15
+#: First and longest time in which an upstream without room gets small results only,
+#: in seconds.
+_FULL_S = 0.08
+_MAX_FULL_S = 0.6
 #: Weight of a new sample of an upstream's slowness.
 _SLOWNESS_WEIGHT = 0.5
 #: Time over which results to be freed are collected, in seconds.
@@ -113,6 +118,8 @@
     free_at_s: float = 0.0
     slowness: float = 1.0
     paused_until_s: float = 0.0
+    full_until_s: float = 0.0
+    full_s: float = _FULL_S
     #: Size and end of life of the results that the upstream keeps.
     results: dict[Handle, tuple[int, float]] = field(default_factory=dict)
     #: Bytes of the results that the present call makes.
@@ -122,6 +129,12 @@
         kept = sum(size for size, ends_s in self.results.values() if ends_s > now_s)
         return kept + self.pending_bytes
 
+    def free_bytes(self, limits: PieceLimits, *, now_s: float) -> float:
+        free_bytes = limits.result_bytes - self.used_bytes(now_s=now_s)
+        if now_s < self.full_until_s:
+            return min(free_bytes, SMALL_RESULT_PART * limits.result_bytes)
+        return free_bytes
+
 
 class StageScheduler:
     """Gathers pieces and calls the upstreams of all stage services.
@@ -233,7 +246,7 @@
                     free_at_s=state.free_at_s if state.busy else now_s,
                     busy=state.busy,
                     slowness=state.slowness,
-                    free_bytes=limits.result_bytes - state.used_bytes(now_s=now_s),
+                    free_bytes=state.free_bytes(limits, now_s=now_s),
                 )
             )
         return workers
@@ -326,7 +339,7 @@
                 self._learn_speed(service, state, len(batch.pieces), elapsed_s)
                 self._settle_answer(batch, body, state, now_s)
             case Refused():
-                state.paused_until_s = now_s + _NO_ROOM_PAUSE_S
+                state.paused_until_s = now_s + _REFUSED_PAUSE_S
                 for ref in batch.pieces:
                     ref.job.attempts_by_index[ref.index] -= 1
                 self._requeue(batch.pieces)
@@ -360,7 +373,9 @@
                 case PieceProblem.INPUT_GONE:
                     self._fail(ref.job, StageProblem.INPUT_GONE)
                 case PieceProblem.NO_ROOM:
-                    state.paused_until_s = now_s + _NO_ROOM_PAUSE_S
+                    # Results differ from their stated size.
+                    state.full_until_s = now_s + state.full_s
+                    state.full_s = min(_MAX_FULL_S, 2 * state.full_s)
                     ref.job.attempts_by_index[ref.index] -= 1
                     self._requeue((ref,))
                 case PieceProblem.ERROR:
@@ -374,6 +389,7 @@
         state = self._state(upstream_id)
         lifetime_s = self._lifetime_s(upstream_id)
         state.results[handle] = (ref.job.result_bytes, now_s + lifetime_s)
+        state.full_s = _FULL_S
         self._owner_by_handle[handle] = upstream_id
         if ref.job.job_id not in self._done_by_id:
             # The request has ended while its piece was made.
