Drop pieces whose inputs have ended

Change: a stage's deadline is bounded by the lifetime of what it reads, and a request whose stages would wait longer is refused at the door.

--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -228,6 +228,7 @@
             maker=self._stages,
             locate=self._view.domain_of_most,
             wait=lambda service: self._times.wait(service, now_s=self._clock()),
+            clock=self._clock,
         )
         refused = run.refusal(now_s=self._clock())
         if refused is not None:
--- a/galenashift/gateway/_stage_run.py
+++ b/galenashift/gateway/_stage_run.py
@@ -1,6 +1,7 @@
 """The stages of one request, made in the order in which they read each other."""
 
 import itertools
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -25,6 +26,9 @@
 
 _numbers = itertools.count(1)
 
+#: Time between the end of a call and its answer, and for the next call, in seconds.
+_LIFETIME_MARGIN_S = 0.3
+
 
 #: Returns the expected wait at a stage service.
 WaitOf = Callable[[ServiceName], StageWait]
@@ -73,6 +77,7 @@
         maker: StageMaker,
         locate: Locate,
         wait: WaitOf,
+        clock: Callable[[], float],
     ) -> None:
         self._stages = route.stages
         self._config = config
@@ -80,6 +85,8 @@
         self._maker = maker
         self._locate = locate
         self._wait = wait
+        self._clock = clock
+        self._ended_at_s = clock()
         self._handles_by_stage: dict[int, tuple[Handle, ...]] = {}
         self._failure: StageFailed | None = None
 
@@ -112,11 +119,31 @@
         request = self._request
         if now_s + self._total_s(late=False) <= request.due_s:
             return None
-        excess_s = now_s + self._total_s(late=True) - request.deadline_s
+        excess_s = max(
+            now_s + self._total_s(late=True) - request.deadline_s,
+            *(self._input_excess_s(index) for index in range(len(self._stages))),
+        )
         if excess_s <= 0:
             return None
         return StageFailed(problem=StageProblem.LATE, retry_after_s=excess_s)
 
+    def _input_excess_s(self, index: int) -> float:
+        """Return how long a stage waits after the end of its inputs, in seconds."""
+        stage = self._stages[index]
+        if not stage.after or not self._pieces(index):
+            return 0.0
+        return self._wait(stage.service).late_s - self._lifetime_s(stage)
+
+    def _lifetime_s(self, stage: StageSpec) -> float:
+        """Return how long the results that a stage reads are kept, in seconds."""
+        lifetimes_s = []
+        for before in stage.after:
+            service = self._stages[before].service
+            details = self._config.services_by_name.get(service)
+            if details is not None and details.pieces is not None:
+                lifetimes_s.append(details.pieces.result_lifetime_s)
+        return min(lifetimes_s, default=math.inf) - _LIFETIME_MARGIN_S
+
     def _total_s(self, *, late: bool) -> float:
         starts = range(len(self._stages))
         longest_s = max(
@@ -149,6 +176,7 @@
             match outcome:
                 case StageMade(handles=handles):
                     self._handles_by_stage[index] = handles
+                    self._ended_at_s = self._clock()
                 case StageFailed():
                     self._failure = self._failure or outcome
                     scope.cancel()
@@ -177,7 +205,9 @@
             job_id=JobId(f"{request.attempt_id}/{next(_numbers)}"),
             pieces=pieces,
             due_s=request.due_s,
-            deadline_s=request.deadline_s,
+            deadline_s=min(
+                request.deadline_s, self._ended_at_s + self._lifetime_s(stage)
+            ),
             tail_s=self._after_s(index, late=False) + request.final_s,
             rank=request.rank,
             organisation_id=request.organisation_id,
