Give up a watch of the store when the lease's renewal shows that the store is silent

Change: a failed renewal, every 0.8 s, ends the watch, and everything is listed anew. Also: results, upstreams and outcomes of stages are modules of their own, and a head beyond the limit that arrives at once is refused with 431.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -90,6 +90,7 @@
             store=store,
             daemon_id=settings.daemon_id,
             peer=PeerAddress(address=settings.peers, capacity=_capacity(settings)),
+            on_failure=self._watch.distrust,
             events=self._events,
         )
         times = ServiceTimes()
--- a/galenashift/gateway/_caller.py
+++ b/galenashift/gateway/_caller.py
@@ -238,6 +238,10 @@
             return None
         arrived_at_s = self._clock()
         limits = self._limits()
+        if _head_bytes(head) > limits.max_header_bytes:
+            raise h11.RemoteProtocolError(
+                "the head is too large", error_status_hint=431
+            )
         body = bytearray()
         with trio.move_on_after(limits.header_timeout_s + limits.idle_timeout_s):
             while True:
@@ -315,3 +319,9 @@
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerGone from error
+
+
+def _head_bytes(head: h11.Request) -> int:
+    """Return the size of a request's head; the parser bounds only one in parts."""
+    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -3,7 +3,7 @@
 from galenashift.model import Failure, Reason, Verdict, may_have_run, not_run
 
 from ._exchange import Broken, Outcome, Silent, StreamEnded
-from ._stage_scheduler import StageFailed, StageProblem
+from ._stage_outcome import StageFailed, StageProblem
 
 #: Time after which a caller may come back when an upstream was full, in seconds.
 FULL_RETRY_AFTER_S = 0.25
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -1,8 +1,6 @@
 """Makes stage results: one daemon gathers the pieces of many for one service."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
-from enum import Enum
 
 import trio
 
@@ -13,15 +11,11 @@
     UpstreamId,
 )
 from galenashift.platform import (
-    FREE_PATH,
     RUN_PATH,
     PieceProblem,
     StageAnswerError,
     decode_run,
-    encode_free,
     encode_run,
-    expected_upstream,
-    handle_address,
 )
 from galenashift.telemetry import EventLog, Metrics
 
@@ -31,16 +25,15 @@
     Exchanger,
     NotSent,
     Outcome,
-    OutgoingRequest,
     Refused,
     Silent,
     StreamEnded,
     Waits,
 )
 from ._health import HealthBook
+from ._stage_outcome import StageFailed, StageMade, StageOutcome, StageProblem
 from ._stage_queue import (
     MAX_PIECE_ATTEMPTS,
-    SMALL_RESULT_PART,
     Batch,
     JobId,
     PieceRef,
@@ -48,6 +41,13 @@
     StageQueue,
     Worker,
 )
+from ._stage_results import StageResults
+from ._stage_upstream import (
+    FIRST_FULL_S,
+    StageUpstream,
+    StageUpstreams,
+    stage_request,
+)
 from ._times import StageWait
 from ._view import KnownUpstream, PlatformView
 
@@ -60,82 +60,16 @@
 _FAILURE_PAUSE_S = 0.6
 #: Time without calls after an upstream refused one, in seconds.
 _REFUSED_PAUSE_S = 0.15
-#: First and longest time in which an upstream without room gets small results only,
-#: in seconds.
-_FULL_S = 0.08
+#: Longest time in which an upstream without room gets small results only, in seconds.
 _MAX_FULL_S = 0.6
 #: Weight of a new sample of an upstream's slowness.
 _SLOWNESS_WEIGHT = 0.5
-#: Time over which results to be freed are collected, in seconds.
-_FREE_DELAY_S = 0.05
-#: Time for a call that frees results, in seconds.
-_FREE_TIMEOUT_S = 0.5
 #: Time between looks at jobs whose deadline has passed, in seconds.
 _SWEEP_S = 0.1
 
 _OK = 200
 
 
-class StageProblem(Enum):
-    """Why a stage was not made."""
-
-    #: The deadline cannot be met.
-    LATE = "late"
-    #: A result that the stage reads is gone.
-    INPUT_GONE = "input-gone"
-    #: No upstream made the pieces within the attempts.
-    FAILED = "failed"
-    #: The service has no upstream.
-    NO_UPSTREAM = "no-upstream"
-    #: The daemon that gathers the pieces cannot be reached.
-    UNREACHABLE = "unreachable"
-
-
-@dataclass(frozen=True, kw_only=True)
-class StageMade:
-    """Results of a stage, in the order of its pieces."""
-
-    handles: tuple[Handle, ...]
-
-
-@dataclass(frozen=True, kw_only=True)
-class StageFailed:
-    """A stage without results."""
-
-    problem: StageProblem
-    #: Time after which a new attempt may be served, in seconds.
-    retry_after_s: float | None = None
-
-
-StageOutcome = StageMade | StageFailed
-
-
-@dataclass(kw_only=True)
-class _Upstream:
-    """State of one stage upstream."""
-
-    busy: bool = False
-    free_at_s: float = 0.0
-    slowness: float = 1.0
-    paused_until_s: float = 0.0
-    full_until_s: float = 0.0
-    full_s: float = _FULL_S
-    #: Size and end of life of the results that the upstream keeps.
-    results: dict[Handle, tuple[int, float]] = field(default_factory=dict)
-    #: Bytes of the results that the present call makes.
-    pending_bytes: int = 0
-
-    def used_bytes(self, *, now_s: float) -> float:
-        kept = sum(size for size, ends_s in self.results.values() if ends_s > now_s)
-        return kept + self.pending_bytes
-
-    def free_bytes(self, limits: PieceLimits, *, now_s: float) -> float:
-        free_bytes = limits.result_bytes - self.used_bytes(now_s=now_s)
-        if now_s < self.full_until_s:
-            return min(free_bytes, SMALL_RESULT_PART * limits.result_bytes)
-        return free_bytes
-
-
 class StageScheduler:
     """Gathers pieces and calls the upstreams of all stage services.
 
@@ -159,19 +93,24 @@
         self._metrics = metrics
         self._clock = clock
         self._queues_by_service: dict[ServiceName, StageQueue] = {}
-        self._upstreams_by_id: dict[UpstreamId, _Upstream] = {}
-        self._owner_by_handle: dict[Handle, UpstreamId] = {}
+        self._upstreams = StageUpstreams()
         self._done_by_id: dict[JobId, tuple[trio.Event, list[StageOutcome]]] = {}
-        self._to_free: list[Handle] = []
+        self._results = StageResults(
+            upstreams=self._upstreams,
+            view=view,
+            exchanger=exchanger,
+            events=events,
+            on_freed=self._pump,
+            clock=clock,
+        )
         self._nursery: trio.Nursery | None = None
-        self._calls = 0
 
     async def run(self) -> None:
         """Call upstreams until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._sweep)
-            nursery.start_soon(self._free_results)
+            nursery.start_soon(self._results.run, nursery)
 
     async def make(self, *, service: ServiceName, job: StageJob) -> StageOutcome:
         """Make the pieces of a job; cancelling drops those that wait.
@@ -215,7 +154,7 @@
 
     def release(self, handles: Sequence[Handle]) -> None:
         """Free results that no request needs any more."""
-        self._to_free += handles
+        self._results.release(handles)
 
     def _queue(self, service: ServiceName) -> StageQueue | None:
         config = self._view.config
@@ -236,7 +175,7 @@
         workers = []
         for each in known:
             upstream_id = each.registration.upstream_id
-            state = self._state(upstream_id)
+            state = self._upstreams.of(upstream_id)
             if now_s < state.paused_until_s and not state.busy:
                 continue
             workers.append(
@@ -251,9 +190,6 @@
             )
         return workers
 
-    def _state(self, upstream_id: UpstreamId) -> _Upstream:
-        return self._upstreams_by_id.setdefault(upstream_id, _Upstream())
-
     def _pump(self, service: ServiceName) -> None:
         queue = self._queues_by_service[service]
         nursery = self._nursery
@@ -264,7 +200,7 @@
         for batch in queue.plan(workers, now_s=now_s):
             upstream = self._view.find(batch.upstream_id)
             assert upstream is not None
-            state = self._state(batch.upstream_id)
+            state = self._upstreams.of(batch.upstream_id)
             expected_s = queue.call_s(len(batch.pieces)) * state.slowness
             state.busy = True
             state.pending_bytes = sum(ref.job.result_bytes for ref in batch.pieces)
@@ -278,7 +214,7 @@
         batch: Batch,
         expected_s: float,
     ) -> None:
-        state = self._state(batch.upstream_id)
+        state = self._upstreams.of(batch.upstream_id)
         started_s = self._clock()
         try:
             outcome = await self._exchange(upstream, batch, expected_s)
@@ -293,13 +229,12 @@
     async def _exchange(
         self, upstream: KnownUpstream, batch: Batch, expected_s: float
     ) -> Outcome:
-        self._calls += 1
         now_s = self._clock()
         body = encode_run(
             [ref.piece for ref in batch.pieces],
             remaining_s=[ref.job.deadline_s - now_s for ref in batch.pieces],
         )
-        request = _stage_request(upstream, path=RUN_PATH, body=body, number=self._calls)
+        request = stage_request(upstream, path=RUN_PATH, body=body)
         wait_s = _SILENCE_FACTOR * expected_s + _WAY_S
         return await self._exchanger.exchange(
             upstream=upstream.registration,
@@ -321,7 +256,9 @@
             outcome=type(outcome).__name__,
             elapsed_s=elapsed_s,
             waiting=len(self._queues_by_service[service]),
-            used_bytes=self._state(batch.upstream_id).used_bytes(now_s=self._clock()),
+            used_bytes=self._upstreams.of(batch.upstream_id).used_bytes(
+                now_s=self._clock()
+            ),
         )
 
     def _settle(
@@ -332,7 +269,7 @@
         *,
         elapsed_s: float,
     ) -> None:
-        state = self._state(batch.upstream_id)
+        state = self._upstreams.of(batch.upstream_id)
         now_s = self._clock()
         match outcome:
             case Answered(head=head, body=body) if head.status == _OK:
@@ -348,14 +285,14 @@
                 self._requeue(batch.pieces)
 
     def _learn_speed(
-        self, service: ServiceName, state: _Upstream, pieces: int, elapsed_s: float
+        self, service: ServiceName, state: StageUpstream, pieces: int, elapsed_s: float
     ) -> None:
         stated_s = self._queues_by_service[service].call_s(pieces)
         sample = max(0.5, elapsed_s / stated_s)
         state.slowness += _SLOWNESS_WEIGHT * (sample - state.slowness)
 
     def _settle_answer(
-        self, batch: Batch, body: bytes, state: _Upstream, now_s: float
+        self, batch: Batch, body: bytes, state: StageUpstream, now_s: float
     ) -> None:
         try:
             results = decode_run(body, count=len(batch.pieces))
@@ -386,11 +323,10 @@
     def _keep(
         self, ref: PieceRef, handle: Handle, upstream_id: UpstreamId, now_s: float
     ) -> None:
-        state = self._state(upstream_id)
-        lifetime_s = self._lifetime_s(upstream_id)
-        state.results[handle] = (ref.job.result_bytes, now_s + lifetime_s)
-        state.full_s = _FULL_S
-        self._owner_by_handle[handle] = upstream_id
+        self._upstreams.of(upstream_id).full_s = FIRST_FULL_S
+        ends_s = now_s + self._lifetime_s(upstream_id)
+        size = ref.job.result_bytes
+        self._results.add(handle, upstream_id, size=size, ends_s=ends_s)
         if ref.job.job_id not in self._done_by_id:
             # The request has ended while its piece was made.
             self.release([handle])
@@ -442,82 +378,4 @@
                 for each in queue.take_hopeless(now_s=now_s):
                     self._fail(each.job, StageProblem.LATE, each.retry_after_s)
                 self._pump(service)
-            for state in self._upstreams_by_id.values():
-                self._drop_expired(state, now_s)
-
-    def _drop_expired(self, state: _Upstream, now_s: float) -> None:
-        results = state.results
-        for handle, (_, ends_s) in list(results.items()):
-            if ends_s <= now_s:
-                del results[handle]
-                self._owner_by_handle.pop(handle, None)
-
-    async def _free_results(self) -> None:
-        while True:
-            await trio.sleep(_FREE_DELAY_S)
-            handles, self._to_free = self._to_free, []
-            by_upstream: dict[UpstreamId, list[Handle]] = {}
-            for handle in handles:
-                owner = self._owner_by_handle.pop(handle, None) or self._owner(handle)
-                if owner is not None:
-                    by_upstream.setdefault(owner, []).append(handle)
-            for upstream_id, each in by_upstream.items():
-                assert self._nursery is not None
-                self._nursery.start_soon(self._free, upstream_id, each)
-
-    def _owner(self, handle: Handle) -> UpstreamId | None:
-        """Find the maker of a result that another daemon has gathered."""
-        address = handle_address(handle)
-        for service in self._queues_by_service:
-            for known in self._view.upstreams_of(service, now_s=self._clock()):
-                registration = known.registration
-                if address == f"{registration.host}:{registration.port}":
-                    return registration.upstream_id
-        return None
-
-    async def _free(self, upstream_id: UpstreamId, handles: list[Handle]) -> None:
-        upstream = self._view.find(upstream_id)
-        if upstream is None:
-            return
-        self._calls += 1
-        request = _stage_request(
-            upstream, path=FREE_PATH, body=encode_free(handles), number=self._calls
-        )
-        outcome = await self._exchanger.exchange(
-            upstream=upstream.registration,
-            request=request,
-            waits=Waits(first_s=_FREE_TIMEOUT_S, gap_s=_FREE_TIMEOUT_S),
-        )
-        if not isinstance(outcome, Answered):
-            # The upstream frees the results itself at the end of their lifetime.
-            self._events.info(
-                "stage-results-not-freed",
-                upstream=upstream_id,
-                results=len(handles),
-                outcome=type(outcome).__name__,
-            )
-            return
-        results = self._state(upstream_id).results
-        for handle in handles:
-            results.pop(handle, None)
-        self._pump(upstream.registration.service)
-
-
-def _stage_request(
-    upstream: KnownUpstream, *, path: str, body: bytes, number: int
-) -> OutgoingRequest:
-    registration = upstream.registration
-    host = f"{registration.host}:{registration.port}".encode()
-    return OutgoingRequest(
-        attempt_id=None,
-        method="POST",
-        target=path,
-        headers=[
-            (b"host", host),
-            (b"content-type", b"application/json"),
-            (b"content-length", b"%d" % len(body)),
-            expected_upstream(registration.upstream_id),
-        ],
-        body=body,
-        repeatable=True,
-    )
+            self._results.drop_expired(now_s=now_s)
--- a/galenashift/gateway/_store_watch.py
+++ b/galenashift/gateway/_store_watch.py
@@ -23,16 +23,17 @@
 
 #: Everything in the store is followed by one watch.
 _ALL_KEYS = ""
-#: Longest wait of a watch, in seconds; keep-alive probes notice a silent connection.
+#: Longest wait of a watch, in seconds. Keep-alive probes notice a silent connection,
+#: and renewals of the lease a silent store.
 _WATCH_WAIT_S = 10.0
 #: Pause after changes, in seconds; those that follow come in one answer.
 _GATHER_S = 0.3
 #: Pause after a failed call, in seconds.
-_RETRY_S = 0.2
+_RETRY_S = 0.3
 #: Lifetime of this daemon's registration without a renewal, in seconds.
 _LEASE_S = 6.0
 #: Time between renewals, in seconds.
-_RENEWAL_S = 2.0
+_RENEWAL_S = 0.8
 
 
 class StoreWatch:
@@ -56,6 +57,7 @@
         self._metrics = metrics
         self._clock = clock
         self._lost_since_s: float | None = None
+        self._wait: trio.CancelScope | None = None
         #: Boot-time clock at which the view was last known to be complete, in seconds.
         self.fresh_at_s = 0.0
         #: Set once the store has been read.
@@ -78,10 +80,10 @@
     async def _follow(self, revision: StoreRevision) -> None:
         """Apply changes until the history that is needed is gone."""
         while True:
-            changes = await self._store.watch(
-                prefix=_ALL_KEYS, after=revision, wait_s=_WATCH_WAIT_S
-            )
+            changes = await self._changes(revision)
             match changes:
+                case None:
+                    return
                 case StoreFailure(problem=StoreProblem.HISTORY_GONE):
                     self._events.info("store-history-gone", after=revision)
                     return
@@ -96,6 +98,25 @@
                     if changes.changes:
                         await trio.sleep(_GATHER_S)
 
+    async def _changes(
+        self, revision: StoreRevision
+    ) -> ChangeSet | StoreFailure | None:
+        """Wait for changes; None if the wait was given up."""
+        with trio.CancelScope() as self._wait:
+            return await self._store.watch(
+                prefix=_ALL_KEYS, after=revision, wait_s=_WATCH_WAIT_S
+            )
+        return None
+
+    def distrust(self, failure: StoreFailure) -> None:
+        """Give up the present wait, which may never end, and list everything anew.
+
+        :param failure: Failure of another call of the store.
+        """
+        self._failed(failure)
+        if self._wait is not None:
+            self._wait.cancel()
+
     def _failed(self, failure: StoreFailure) -> None:
         self._metrics.count("store_failures_total", problem=failure.problem.value)
         if self._lost_since_s is None:
@@ -125,11 +146,13 @@
         store: PlatformStore,
         daemon_id: DaemonId,
         peer: PeerAddress,
+        on_failure: Callable[[StoreFailure], None],
         events: EventLog,
     ) -> None:
         self._store = store
         self._key = daemon_key(daemon_id)
         self._peer = peer
+        self._on_failure = on_failure
         self._events = events
         self._lease: LeaseId | None = None
         self._ended = False
@@ -158,7 +181,10 @@
 
     async def _renew(self, lease: LeaseId) -> None:
         failure = await self._store.renew_lease(lease)
-        if failure is not None and failure.problem is StoreProblem.NOT_FOUND:
+        if failure is None:
+            return
+        self._on_failure(failure)
+        if failure.problem is StoreProblem.NOT_FOUND:
             self._events.warning("registration-lapsed", lease=lease)
             self._lease = None
 
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -77,6 +77,14 @@
         """Return a registered upstream."""
         return self._upstreams_by_id.get(upstream_id)
 
+    def find_address(self, address: str) -> KnownUpstream | None:
+        """Return the upstream at an address such as ``10.0.0.1:80``."""
+        for known in self._upstreams_by_id.values():
+            registration = known.registration
+            if address == f"{registration.host}:{registration.port}":
+                return known
+        return None
+
     def upstreams_of(
         self, service: ServiceName, *, now_s: float
     ) -> list[KnownUpstream]:
--- /dev/null
+++ b/galenashift/gateway/tests/test_caller.py
@@ -0,0 +1,210 @@
+"""Connections of callers: limits, early ends, and what a shutdown leaves."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from galenashift.gateway._caller import CallerConnection
+from galenashift.model import CallerLimits, Reason, not_run
+
+_LIMITS = CallerLimits(
+    max_header_bytes=2_000,
+    max_body_bytes=1_000,
+    header_timeout_s=0.3,
+    idle_timeout_s=0.4,
+)
+_REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nin"
+
+
+class Handler:
+    """Answers with the request's body, or does what it is told."""
+
+    def __init__(self, behaviour=None):
+        self.requests = []
+        self.cancelled = 0
+        self._behaviour = behaviour
+
+    async def __call__(self, request, responder):
+        self.requests.append(request)
+        try:
+            if self._behaviour is not None:
+                await self._behaviour(request, responder)
+            else:
+                await responder.answer(status=200, headers=[], body=request.body)
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+
+
+async def read_all(stream, until=None):
+    data = b""
+    with trio.move_on_after(2.0):
+        while until is None or until not in data:
+            part = await stream.receive_some(65_536)
+            if not part:
+                break
+            data += part
+    return data
+
+
+def talk(handler, use, *, draining=lambda: False, connections=None):
+    """Run `use(stream)` as a caller of one connection."""
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+
+            async def serve(stream):
+                connection = CallerConnection(
+                    stream=stream,
+                    handler=handler,
+                    limits=lambda: _LIMITS,
+                    draining=draining,
+                    clock=trio.current_time,
+                )
+                if connections is not None:
+                    connections.append(connection)
+                await connection.serve()
+
+            nursery.start_soon(partial(trio.serve_listeners, serve, listeners))
+            port = listeners[0].socket.getsockname()[1]
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                result = await use(stream)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return trio.run(run)
+
+
+def test_requests_on_one_connection_are_answered_in_turn():
+    handler = Handler()
+
+    async def use(stream):
+        await stream.send_all(_REQUEST + _REQUEST.replace(b"in", b"to"))
+        return await read_all(stream, until=b"to")
+
+    data = talk(handler, use)
+    assert data.count(b"HTTP/1.1 200") == 2
+    assert [request.body for request in handler.requests] == [b"in", b"to"]
+
+
+def test_chunked_body_is_read_whole():
+    handler = Handler()
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    async def use(stream):
+        await stream.send_all(head + b"1\r\ni\r\n")
+        await stream.send_all(b"1\r\nn\r\n0\r\n\r\n")
+        return await read_all(stream, until=b"\r\n\r\nin")
+
+    talk(handler, use)
+    assert handler.requests[0].body == b"in"
+
+
+def test_caller_that_leaves_ends_the_work():
+    # The upstream would work for nobody.
+    handler = Handler(lambda request, responder: trio.sleep_forever())
+
+    async def use(stream):
+        await stream.send_all(_REQUEST)
+        await trio.sleep(0.1)
+        await stream.aclose()
+        with trio.fail_after(1.0):
+            while not handler.cancelled:
+                await trio.sleep(0.01)
+
+    talk(handler, use)
+    assert handler.cancelled == 1
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n"
+            + b"x" * 5000,
+            413,
+        ),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 5000 + b"\r\n\r\n", 431),
+        (b"NONSENSE\r\n\r\n", 400),
+    ],
+)
+def test_requests_beyond_the_limits_are_refused(data, status):
+    async def use(stream):
+        await stream.send_all(data)
+        return await read_all(stream)
+
+    handler = Handler()
+    assert b"HTTP/1.1 %d" % status in talk(handler, use)
+    assert handler.requests == []
+
+
+@pytest.mark.parametrize("data", [b"", b"POST /a HTTP/1.1\r\nHost:"])
+def test_slow_caller_is_closed(data):
+    # Connections that send nothing would use up the descriptors.
+    async def use(stream):
+        await stream.send_all(data)
+        with trio.fail_after(1.5):
+            return await stream.receive_some(1)
+
+    assert talk(Handler(), use) == b""
+
+
+def test_unfinished_answer_closes_the_connection():
+    # Without it the caller would take the part for the whole.
+    async def behaviour(request, responder):
+        await responder.start(status=200, headers=[], data=b"part")
+
+    async def use(stream):
+        await stream.send_all(_REQUEST)
+        return await read_all(stream)
+
+    data = talk(Handler(behaviour), use)
+    assert b"part" in data
+    assert not data.endswith(b"0\r\n\r\n")
+
+
+def test_failure_tells_verdict_and_time_to_come_back():
+    failure = not_run(reason=Reason.OVERLOADED, detail="full", retry_after_s=0.25)
+
+    async def use(stream):
+        await stream.send_all(_REQUEST)
+        return await read_all(stream, until=b"}")
+
+    data = talk(Handler(lambda _, responder: responder.fail(failure)), use)
+    assert b"HTTP/1.1 503" in data
+    assert b"retry-after: 0.25" in data
+    assert b'"verdict": "not-run"' in data
+
+
+def test_answers_during_a_shutdown_ask_the_caller_to_leave():
+    async def use(stream):
+        await stream.send_all(_REQUEST)
+        return await read_all(stream)
+
+    data = talk(Handler(), use, draining=lambda: True)
+    assert b"connection: close" in data
+    assert data.endswith(b"in")
+
+
+def test_shutdown_closes_idle_connections_only():
+    # A request that is being answered must end whole.
+    connections = []
+
+    async def behaviour(request, responder):
+        connections[0].close_if_idle()
+        await trio.sleep(0.1)
+        await responder.answer(status=200, headers=[], body=b"whole")
+
+    async def use(stream):
+        await stream.send_all(_REQUEST)
+        data = await read_all(stream, until=b"whole")
+        await trio.sleep(0.05)
+        connections[0].close_if_idle()
+        with trio.fail_after(0.2):
+            assert await stream.receive_some(1) == b""
+        return data
+
+    data = talk(Handler(behaviour), use, connections=connections)
+    assert data.endswith(b"whole")
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -22,7 +22,7 @@
 )
 from galenashift.gateway._health import HealthBook
 from galenashift.gateway._relay import Relay
-from galenashift.gateway._stage_scheduler import StageFailed, StageMade, StageProblem
+from galenashift.gateway._stage_outcome import StageFailed, StageMade, StageProblem
 from galenashift.gateway._times import ServiceTimes
 from galenashift.gateway._view import PlatformView
 from galenashift.gateway.tests.test_view import item, upstream_item
--- a/galenashift/gateway/tests/test_stage_link.py
+++ b/galenashift/gateway/tests/test_stage_link.py
@@ -4,13 +4,13 @@
 import trio.testing
 
 from galenashift.gateway._stage_link import StageLink, StageServer
-from galenashift.gateway._stage_queue import JobId, StageJob
-from galenashift.gateway._stage_scheduler import (
+from galenashift.gateway._stage_outcome import (
     StageFailed,
     StageMade,
     StageOutcome,
     StageProblem,
 )
+from galenashift.gateway._stage_queue import JobId, StageJob
 from galenashift.gateway._times import ServiceTimes, StageWait
 from galenashift.model import DaemonId, Handle, OrganisationId, ServiceName
 from galenashift.platform import Address, Piece
