Encode a request before its connection is read

Cause: found by the soak (seed 200): a kept connection that ended just before the request was encoded left the parser unable to send, the error was not caught, and the caller's connection was cut. Change: the request is encoded first; the end of the connection then counts as the end of the request.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check bench soak binary
+.PHONY: demo test check bench soak fuzz binary
 
 $(VENV)/.installed: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -25,7 +25,12 @@
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench
 
+# For example: make soak SEED=7, or make soak MINUTES=5
 soak: $(VENV)/.installed
+	$(BIN)/python -m soak $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES)) \
+	  --report soak-report.html
+
+fuzz: $(VENV)/.installed
 	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest -m fuzz
 
 binary: $(VENV)/.installed
--- a/galenashift/cli/_commands.py
+++ b/galenashift/cli/_commands.py
@@ -28,6 +28,7 @@
 )
 from galenashift.model import Failure, JsonObject, Reason
 
+from ._gateway import gateway
 from ._operator_client import OperatorClient
 from ._render import render_changes, render_explanation
 from ._status_page import render_status
@@ -332,3 +333,6 @@
         Path(part).replace(file)
     except (OSError, ValueError) as error:
         _bad_input(f"{file}: cannot be written: {error}")
+
+
+main.add_command(gateway)
--- a/galenashift/gateway/_connection.py
+++ b/galenashift/gateway/_connection.py
@@ -62,23 +62,32 @@
         #: Idle time after which the upstream may close, in seconds.
         self.idle_timeout_s: float | None = None
 
-    async def send(
+    def encode(
         self,
         *,
         method: str,
         target: str,
         headers: list[tuple[bytes, bytes]],
         body: bytes,
-    ) -> None:
-        """Write a request.
+    ) -> bytes:
+        """Encode a request, whose answer can be read from then on.
 
-        :raises ConnectionFailed: If the connection breaks.
+        :raises ConnectionFailed: If the connection cannot carry a request.
         """
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self._parser.send(request) or b""
-        if body:
-            data += self._parser.send(h11.Data(data=body)) or b""
-        data += self._parser.send(h11.EndOfMessage()) or b""
+        try:
+            data = self._parser.send(request) or b""
+            if body:
+                data += self._parser.send(h11.Data(data=body)) or b""
+            return data + (self._parser.send(h11.EndOfMessage()) or b"")
+        except h11.LocalProtocolError as error:
+            raise ConnectionFailed(f"request: {error}") from error
+
+    async def write(self, data: bytes) -> None:
+        """Write an encoded request.
+
+        :raises ConnectionFailed: If the connection breaks.
+        """
         try:
             await self._send_all(data)
         except (OSError, trio.ClosedResourceError) as error:
--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -160,17 +160,23 @@
         waits: Waits,
         sink: StreamSink | None,
     ) -> tuple[Outcome, bool]:
+        # Encoded before anything is read: an end of the connection that arrives first
+        # must count as the end of this request.
+        try:
+            data = connection.encode(
+                method=request.method,
+                target=request.target,
+                headers=request.headers,
+                body=request.body,
+            )
+        except ConnectionFailed as error:
+            return NotSent(detail=str(error)), False
         reader = _Reader(connection, request, waits, sink)
         sent = trio.Event()
 
         async def send() -> None:
             try:
-                await connection.send(
-                    method=request.method,
-                    target=request.target,
-                    headers=request.headers,
-                    body=request.body,
-                )
+                await connection.write(data)
             except ConnectionFailed:
                 # The reader sees the broken connection, or an early answer.
                 return
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -36,7 +36,6 @@
     Refused,
     Silent,
     StreamEnded,
-    Waits,
 )
 from ._failures import (
     broken_failure,
@@ -49,6 +48,7 @@
 from ._feedback import Feedback
 from ._request import ActiveRequest, decode_fields, open_request
 from ._request_log import RequestLog
+from ._retry_policy import RetryPolicy
 from ._stage_run import REPEATABLE_PROBLEMS, StagedRequest, StageMaker, StageRun
 from ._stream import StreamWriter
 from ._times import ServiceTimes
@@ -58,14 +58,7 @@
 _WAIT_PART = 0.125
 #: Time between looks for an upstream that may take work, in seconds.
 _POLL_S = 0.02
-#: Wait for the first byte before a repeatable request goes elsewhere, as a multiple
-#: of the route's goal, and at least this long, in seconds.
-_FIRST_BYTE_GOALS = 1.0
-_MIN_FIRST_BYTE_S = 0.5
-#: Pause in a stream after which a resumable one goes elsewhere, in seconds.
-_RESUME_GAP_S = 1.0
-#: Time left below which nothing is sent any more, in seconds.
-_MIN_LEFT_S = 0.01
+
 
 _SERVER_ERROR = 500
 
@@ -98,11 +91,11 @@
         self._router = router
         self._exchanger = exchanger
         self._stages = stages
-        self._budgets = budgets
         self._times = times
         self._crashes = crashes
         self._feedback = Feedback(health=router.health, times=times)
         self._log = RequestLog(events=events, metrics=metrics, clock=clock)
+        self._retries = RetryPolicy(budgets=budgets, log=self._log)
         self._clock = clock
 
     async def handle(self, request: CallerRequest, responder: Responder) -> None:
@@ -166,7 +159,7 @@
 
     async def _serve(self, job: ActiveRequest, responder: Responder) -> Failure | None:
         now_s = self._clock()
-        self._budgets.count_request(job.service, now_s=now_s)
+        self._retries.count_request(job, now_s=now_s)
         with trio.move_on_after(max(0.0, job.deadline_s - now_s)):
             if not job.route.stages:
                 return await self._send_until_done(job, responder, ())
@@ -301,7 +294,7 @@
             outcome = await self._exchanger.exchange(
                 upstream=upstream,
                 request=request,
-                waits=self._waits(job),
+                waits=self._retries.waits(job, now_s=now_s),
                 sink=writer.take if job.route.kind is RequestKind.STREAM else None,
                 may_send=partial(self._begin_send, job, upstream),
             )
@@ -316,13 +309,6 @@
         job.in_flight = self._view.may_get_work(upstream, now_s=now_s)
         return job.in_flight
 
-    def _waits(self, job: ActiveRequest) -> Waits:
-        left_s = max(_MIN_LEFT_S, job.deadline_s - self._clock())
-        if not job.route.repeatable or len(job.tried) + 1 >= job.route.max_attempts:
-            return Waits(first_s=left_s, gap_s=left_s)
-        first_s = max(_MIN_FIRST_BYTE_S, _FIRST_BYTE_GOALS * job.route.goal_s)
-        return Waits(first_s=min(left_s, first_s), gap_s=_RESUME_GAP_S)
-
     async def _after(
         self,
         job: ActiveRequest,
@@ -347,13 +333,15 @@
                 return _SEND_AGAIN
             case Refused():
                 job.tried.add(upstream_id)
-                if self._may_repeat(job, now_s):
+                if self._retries.may_repeat(job, now_s=now_s):
                     return _SEND_AGAIN
                 return await self._give_up(job, responder, refused_failure(job.verdict))
             case Answered(head=head):
                 job.tried.add(upstream_id)
                 job.verdict = Verdict.RAN
-                if head.status >= _SERVER_ERROR and self._may_rerun(job, now_s):
+                if head.status >= _SERVER_ERROR and self._retries.may_rerun(
+                    job, now_s=now_s
+                ):
                     job.spare_answer = outcome
                     return _SEND_AGAIN
                 await self._deliver(responder, outcome)
@@ -365,26 +353,12 @@
                 job.tried.add(upstream_id)
                 job.verdict = Verdict.MAY_HAVE_RUN
                 writer.cut()
-                if self._may_rerun(job, now_s):
+                if self._retries.may_rerun(job, now_s=now_s):
                     return _SEND_AGAIN
                 return await self._give_up(job, responder, broken_failure(outcome))
             case _:
                 assert_never(outcome)
 
-    def _may_repeat(self, job: ActiveRequest, now_s: float) -> bool:
-        """Tell whether a request that was not run may go to another upstream."""
-        if len(job.tried) >= job.route.max_attempts:
-            return False
-        if job.deadline_s - now_s < _MIN_LEFT_S:
-            return False
-        allowed = self._budgets.spend(job.service, now_s=now_s)
-        self._log.retry_decided(job, allowed=allowed, now_s=now_s)
-        return allowed
-
-    def _may_rerun(self, job: ActiveRequest, now_s: float) -> bool:
-        """Tell whether a request that may have run may go to another upstream."""
-        return job.route.repeatable and self._may_repeat(job, now_s)
-
     async def _without_upstream(
         self, job: ActiveRequest, responder: Responder, writer: StreamWriter
     ) -> Failure | None:
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -7,6 +7,7 @@
 from galenashift.model import (
     Handle,
     PieceLimits,
+    RequestId,
     ServiceName,
     UpstreamId,
 )
@@ -360,6 +361,19 @@
         problem: StageProblem,
         retry_after_s: float | None = None,
     ) -> None:
+        now_s = self._clock()
+        piece = job.pieces[0]
+        self._events.info(
+            "stage-failed",
+            request_id=RequestId(piece.attempt_id),
+            stage=piece.stage,
+            problem=problem,
+            made=len(job.handles_by_index),
+            waiting=len(job.waiting),
+            rank=job.rank,
+            due_s=job.due_s - now_s,
+            deadline_s=job.deadline_s - now_s,
+        )
         self.release(list(job.handles_by_index.values()))
         self._finish(job, StageFailed(problem=problem, retry_after_s=retry_after_s))
 
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from galenashift.gateway._connection import UpstreamConnection
 from galenashift.gateway._exchange import (
     Answered,
     Broken,
@@ -295,3 +296,24 @@
         )
 
     assert isinstance(trio.run(run), NotSent)
+
+
+@pytest.mark.parametrize("attempt", range(20))
+def test_kept_connection_that_ends_before_the_request_is_written(attempt):
+    # The end of the connection was read before the request was encoded, and the error
+    # of the parser ended the caller's connection. The order of the two tasks is random,
+    # so one attempt shows it only now and then.
+    upstream = Upstream(("read", WHOLE, "close"), ("read", WHOLE, "hang"))
+
+    async def use(exchange):
+        await exchange(request=new_request())
+        # Let the end of the connection arrive after the look at it.
+        original = UpstreamConnection.is_quiet
+        UpstreamConnection.is_quiet = lambda self: True
+        try:
+            await trio.sleep(0.02)
+            return await exchange(request=new_request())
+        finally:
+            UpstreamConnection.is_quiet = original
+
+    assert isinstance(play(upstream, use), Broken)
--- a/soak/tests/test_seeds.py
+++ b/soak/tests/test_seeds.py
@@ -7,6 +7,7 @@
 #: Seeds with the cause that they once showed.
 SEEDS = [
     (1, "all kinds of faults; never failed"),
+    (200, "a kept connection ended before a request was encoded, which was not caught"),
 ]
 
 
