--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -98,7 +98,6 @@
         exchanger = Exchanger(pool=self._pool, clock=clock)
         self._scheduler = StageScheduler(
             view=self._view,
-            health=self._health,
             exchanger=exchanger,
             events=self._events,
             metrics=self._metrics,
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -31,7 +31,6 @@
     StreamEnded,
     Waits,
 )
-from ._health import HealthBook
 from ._stage_outcome import StageFailed, StageMade, StageOutcome, StageProblem
 from ._stage_queue import (
     MAX_PIECE_ATTEMPTS,
@@ -81,14 +80,12 @@
         self,
         *,
         view: PlatformView,
-        health: HealthBook,
         exchanger: Exchanger,
         events: EventLog,
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
         self._view = view
-        self._health = health
         self._exchanger = exchanger
         self._events = events
         self._metrics = metrics
@@ -192,9 +189,9 @@
         return workers
 
     def _pump(self, service: ServiceName) -> None:
-        queue = self._queues_by_service[service]
+        queue = self._queues_by_service.get(service)
         nursery = self._nursery
-        if nursery is None or not len(queue):
+        if nursery is None or queue is None or not len(queue):
             return
         now_s = self._clock()
         workers = self._workers(service, queue.limits, now_s)
