Fill calls with parts of jobs in a crowded queue

Change: a crowded queue (two full calls for each upstream) fills calls with parts of jobs where the memory holds two full calls; otherwise whole jobs share a call.

--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -28,6 +28,8 @@
 _OTHER_DOMAIN_COST_S = 0.05
 #: Part of an upstream's memory below which a result never waits for memory.
 SMALL_RESULT_PART = 0.002
+#: Full calls that wait for each upstream of a crowded queue.
+_CROWDED_BATCHES = 2
 #: Attempts at a piece before its request fails.
 MAX_PIECE_ATTEMPTS = 3
 
@@ -228,11 +230,14 @@
         free_at_s = {each.upstream_id: max(now_s, each.free_at_s) for each in workers}
         free_bytes = {each.upstream_id: each.free_bytes for each in workers}
         shares = self._admitted(sum(free_bytes.values()), now_s)
+        crowded = len(self) > _CROWDED_BATCHES * self.limits.batch * len(workers)
         open_workers = list(workers)
         batches: list[Batch] = []
         while shares and idle and open_workers:
             worker, end_s = self._first_to_end(open_workers, free_at_s, shares)
-            taken = self._fill(worker, shares, free_bytes[worker.upstream_id])
+            taken = self._fill(
+                worker, shares, free_bytes[worker.upstream_id], crowded=crowded
+            )
             if not taken:
                 open_workers.remove(worker)
                 idle.discard(worker.upstream_id)
@@ -280,12 +285,18 @@
         return shares
 
     def _fill(
-        self, worker: Worker, shares: Sequence[_Share], free_bytes: float
+        self,
+        worker: Worker,
+        shares: Sequence[_Share],
+        free_bytes: float,
+        *,
+        crowded: bool,
     ) -> list[PieceRef]:
         """Take the first pieces that an upstream has memory for, up to a batch.
 
         Pieces that move many bytes are made in the failure domain that saves most of
-        them, as long as there are enough of these.
+        them, as long as there are enough of these. Only a crowded queue fills calls
+        with parts of jobs: this makes more pieces in a second, and each job later.
         """
         taken: list[PieceRef] = []
         for wants_near in (True, False):
@@ -293,7 +304,10 @@
                 if wants_near and not _is_near(share.job, worker):
                     continue
                 room = self.limits.batch - len(taken)
-                if share is not shares[0] and self._splits(share, room, free_bytes):
+                may_split = share is shares[0] or (
+                    crowded and not self._fills_memory(share.job)
+                )
+                if not may_split and self._splits(share, room, free_bytes):
                     continue
                 while share.indices and len(taken) < self.limits.batch:
                     if share.job.result_bytes > free_bytes:
@@ -335,6 +349,10 @@
         start_by_s = job.due_s - job.tail_s
         return not job.begun, late_rank, start_by_s + job.rank * _RANK_DELAY_S
 
+    def _fills_memory(self, job: StageJob) -> bool:
+        """Tell whether an upstream has memory for fewer than two full calls."""
+        return 2 * self.limits.batch * job.result_bytes > self.limits.result_bytes
+
     def _is_small(self, job: StageJob) -> bool:
         return job.result_bytes < SMALL_RESULT_PART * self.limits.result_bytes
 
--- a/galenashift/gateway/tests/test_stage_queue.py
+++ b/galenashift/gateway/tests/test_stage_queue.py
@@ -126,6 +126,27 @@
     assert plan == {"u1": ["first0", "first1", "first2", "third0"]}
 
 
+def test_calls_are_filled_with_a_part_of_a_job():
+    # Pattern: burst of jobs of six pieces, ten in a call. Calls of whole jobs only left
+    # two in five places empty while a hundred pieces waited.
+    limits = PieceLimits(
+        batch=10,
+        call_s=0.15,
+        piece_s=0.0132,
+        result_bytes=1.67e6,
+        result_lifetime_s=4.0,
+    )
+    jobs = [new_job(f"j{i}-", pieces=6, result_bytes=60_000) for i in range(5)]
+    worker = new_worker("u1", free_bytes=limits.result_bytes)
+    crowded = new_queue(*jobs, limits=limits)
+    (pieces,) = batches(crowded, worker).values()
+    assert len(pieces) == 10
+    # With few jobs, the second one would only end later.
+    calm = new_queue(*jobs[2:4], limits=limits)
+    (pieces,) = batches(calm, worker).values()
+    assert len(pieces) == 6
+
+
 def test_large_results_are_made_where_they_are_read():
     # Pattern: calm. Each result that crosses failure domains is paid for.
     queue = new_queue(new_job("a", domain="b"))
