Let stage jobs with time to spare wait for their failure domain

Change: a job with 0.3 s to spare waits for its domain while the queue is not crowded, which it is from one full call for each upstream; the store's watch collects changes for 0.7 s, as store calls are the largest price of the grown sites.

--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -25,11 +25,13 @@
 #: Time by which a lower rank is put back, in seconds.
 _RANK_DELAY_S = 0.4
 #: Delay that is accepted for a call in the better failure domain, in seconds.
-_OTHER_DOMAIN_COST_S = 0.05
+_OTHER_DOMAIN_COST_S = 0.12
 #: Part of an upstream's memory below which a result never waits for memory.
 SMALL_RESULT_PART = 0.002
+#: Time to spare from which a job waits for the better failure domain, in seconds.
+_PATIENT_S = 0.3
 #: Full calls that wait for each upstream of a crowded queue.
-_CROWDED_BATCHES = 2
+_CROWDED_BATCHES = 1
 #: Attempts at a piece before its request fails.
 MAX_PIECE_ATTEMPTS = 3
 
@@ -118,6 +120,8 @@
 
     job: StageJob
     indices: list[int]
+    #: Whether only upstreams in the job's failure domain get it.
+    patient: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -231,6 +235,8 @@
         free_bytes = {each.upstream_id: each.free_bytes for each in workers}
         shares = self._admitted(sum(free_bytes.values()), now_s)
         crowded = len(self) > _CROWDED_BATCHES * self.limits.batch * len(workers)
+        if not crowded:
+            self._mark_patient(shares, workers, now_s)
         open_workers = list(workers)
         batches: list[Batch] = []
         while shares and idle and open_workers:
@@ -250,6 +256,17 @@
                 batches.append(self._take(worker, taken))
         return batches
 
+    def _mark_patient(
+        self, shares: Sequence[_Share], workers: Sequence[Worker], now_s: float
+    ) -> None:
+        """Let jobs with time to spare wait for an upstream in their domain."""
+        domains = {worker.domain for worker in workers}
+        for share in shares:
+            job = share.job
+            rest_s = self.call_s(len(job.waiting)) + job.tail_s
+            spare_s = job.due_s - now_s - rest_s
+            share.patient = job.domain in domains and spare_s > _PATIENT_S
+
     def _first_to_end(
         self,
         workers: Sequence[Worker],
@@ -301,7 +318,8 @@
         taken: list[PieceRef] = []
         for wants_near in (True, False):
             for share in shares:
-                if wants_near and not _is_near(share.job, worker):
+                far = not _is_near(share.job, worker)
+                if far and (wants_near or share.patient):
                     continue
                 room = self.limits.batch - len(taken)
                 may_split = share is shares[0] or (
--- a/galenashift/gateway/_store_watch.py
+++ b/galenashift/gateway/_store_watch.py
@@ -27,7 +27,7 @@
 #: and renewals of the lease a silent store.
 _WATCH_WAIT_S = 10.0
 #: Pause after changes, in seconds; those that follow come in one answer.
-_GATHER_S = 0.3
+_GATHER_S = 0.7
 #: Pause after a failed call, in seconds.
 _RETRY_S = 0.3
 #: Lifetime of this daemon's registration without a renewal, in seconds.
