--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -30,6 +30,9 @@
 SMALL_RESULT_PART = 0.002
 #: Time to spare from which a job waits for the better failure domain, in seconds.
 _PATIENT_S = 0.3
+#: Wait of a late job as a multiple of that for the pieces ahead of it now; jobs that
+#: arrive later and can be on time pass it.
+_LATE_WAIT_FACTOR = 1.5
 #: Full calls that wait for each upstream of a crowded queue.
 _CROWDED_BATCHES = 1
 #: Attempts at a piece before its request fails.
@@ -204,17 +207,28 @@
             if self._order_key(each, now_s) <= own
         )
 
-    def take_hopeless(self, *, now_s: float) -> list[Hopeless]:
+    def take_hopeless(self, *, workers: int, now_s: float) -> list[Hopeless]:
         """Remove the jobs that can no longer be served before their deadline.
 
+        Jobs of requests that have begun stay until their deadline; others go as soon as
+        the pieces ahead of them would take longer.
+
+        :param workers: Upstreams that take work.
         :param now_s: Boot-time clock, in seconds.
         """
-        shortest_s = self.call_s(1)
-        hopeless = [
-            Hopeless(job=job, retry_after_s=shortest_s)
-            for job in self._jobs_by_id.values()
-            if job.waiting and now_s + shortest_s > job.deadline_s
-        ]
+        hopeless: list[Hopeless] = []
+        ahead = 0
+        for job in self._ordered(now_s):
+            wait_s = self._wait_s(ahead, workers)
+            new = job.first and not job.begun
+            if self._is_late(job, now_s):
+                wait_s *= _LATE_WAIT_FACTOR
+            start_s = now_s + wait_s if new else now_s
+            rest_s = self.call_s(len(job.waiting)) + job.tail_s if new else 0.0
+            if start_s + max(rest_s, self.call_s(1)) > job.deadline_s:
+                hopeless.append(Hopeless(job=job, retry_after_s=wait_s))
+            else:
+                ahead += len(job.waiting)
         for each in hopeless:
             self.remove(each.job.job_id)
         return hopeless
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -386,7 +386,8 @@
             await trio.sleep(_SWEEP_S)
             now_s = self._clock()
             for service, queue in self._queues_by_service.items():
-                for each in queue.take_hopeless(now_s=now_s):
+                workers = len(self._view.upstreams_of(service, now_s=now_s))
+                for each in queue.take_hopeless(workers=workers, now_s=now_s):
                     self._fail(each.job, StageProblem.LATE, each.retry_after_s)
                 self._pump(service)
             self._results.drop_expired(now_s=now_s)
--- a/galenashift/gateway/tests/test_stage_queue.py
+++ b/galenashift/gateway/tests/test_stage_queue.py
@@ -194,11 +194,31 @@
 def test_jobs_past_their_deadline_are_dropped():
     # A piece for a caller that has left is waste.
     queue = new_queue(new_job("a", deadline_s=1.0), new_job("b", deadline_s=3.0))
-    (hopeless,) = queue.take_hopeless(now_s=0.95)
+    (hopeless,) = queue.take_hopeless(workers=9, now_s=0.95)
     assert hopeless.job.job_id == "a"
     assert len(queue) == 1
 
 
+def test_waiting_job_is_refused_as_soon_as_it_is_hopeless():
+    # Pattern: overload. Jobs that can be on time pass the late ones, which were refused
+    # only when their deadline came.
+    urgent = [new_job(f"u{i}", pieces=4, due_s=9.0) for i in range(12)]
+    late = new_job("late", due_s=-1.0, deadline_s=3.0, rank=2)
+    queue = new_queue(*urgent, late)
+    assert queue.take_hopeless(workers=4, now_s=0.0) == []
+    (hopeless,) = queue.take_hopeless(workers=1, now_s=0.0)
+    assert hopeless.job is late
+    assert hopeless.retry_after_s > 3.0
+
+
+def test_begun_request_is_not_given_up_for_a_long_queue():
+    # Its earlier stages would be wasted.
+    urgent = [new_job(f"u{i}", pieces=4, due_s=9.0) for i in range(12)]
+    begun = new_job("begun", due_s=-1.0, deadline_s=3.0, rank=2, first=False)
+    queue = new_queue(*urgent, begun)
+    assert queue.take_hopeless(workers=1, now_s=0.0) == []
+
+
 def test_stated_wait_counts_late_jobs_apart():
     # A new request that can be on time does not wait for those that are late.
     late = [new_job(f"l{i}", pieces=4, due_s=0.0) for i in range(4)]
