--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 # Process tests run four at a time; each uses about ten processes.
 test: check
 	$(BIN)/python -m pytest -m "not process"
-	$(BIN)/python -m pytest -m process -n 4 tests
+	$(BIN)/python -m pytest -m process -n 4 tests soak
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench
