Never cut a write to a caller by the wait for an upstream, and answer waiting requests before a shutdown ends

One path that loses a request was found by reading: a request that waits for its stages is cut when the process ends after SIGTERM. Change: the wait is suspended while the caller is written to; 0.6 s before the end the requests that were not sent are refused. Figures: the test of the slow caller fails before and passes after.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -170,7 +170,9 @@
             await self._listen(nursery, metrics, self._serve_metrics)
             await self._listen(nursery, settings.callers, self._serve_caller)
             await self._shutdown.wait_until_idle(
-                requests=lambda: self._open_requests, clock=self._clock
+                requests=lambda: self._open_requests,
+                refuse_waiting=self._relay.refuse_waiting,
+                clock=self._clock,
             )
             nursery.cancel_scope.cancel()
         self._events.info("stopped", dropped_lines=self._output.dropped)
--- a/galenashift/gateway/_drain.py
+++ b/galenashift/gateway/_drain.py
@@ -9,6 +9,8 @@
 LISTEN_S = 3.0
 #: Time before the kill at which the process ends by itself, in seconds.
 _KILL_MARGIN_S = 0.4
+#: Time before that end at which requests that still wait are refused, in seconds.
+_LAST_CALL_S = 0.6
 _POLL_S = 0.05
 
 
@@ -44,11 +46,17 @@
         return self._began_at_s is not None and now_s >= self._began_at_s + LISTEN_S
 
     async def wait_until_idle(
-        self, *, requests: Callable[[], int], clock: Callable[[], float]
+        self,
+        *,
+        requests: Callable[[], int],
+        refuse_waiting: Callable[[], None],
+        clock: Callable[[], float],
     ) -> None:
         """Wait for the signal and then for the end of the last request.
 
         :param requests: Returns the requests that are being read or answered.
+        :param refuse_waiting: Answers those that were not sent yet; called shortly
+            before the process ends.
         """
         await self._began.wait()
         assert self._began_at_s is not None
@@ -56,4 +64,6 @@
         while clock() < kill_s:
             if self.closes_idle(now_s=clock()) and requests() == 0:
                 return
+            if clock() >= kill_s - _LAST_CALL_S:
+                refuse_waiting()
             await trio.sleep(_POLL_S)
--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -1,5 +1,6 @@
 """One request to one upstream, and how it ended."""
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -265,8 +266,12 @@
         self, head: AnswerHead, sink: StreamSink, scope: trio.CancelScope
     ) -> Outcome:
         while (data := await self._connection.read_data()) is not None:
-            if await sink(head, data):
-                self._started = True
+            # The wait bounds the upstream, not the caller: a write that was cut could
+            # not be continued by another upstream.
+            deadline, scope.deadline = scope.deadline, math.inf
+            wrote = await sink(head, data)
+            self._started = self._started or wrote
+            scope.deadline = deadline
             if self._started:
                 scope.deadline = trio.current_time() + self._waits.gap_s
         self.whole = True
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -93,6 +93,7 @@
         self._stages = stages
         self._times = times
         self._crashes = crashes
+        self._scopes: list[tuple[ActiveRequest, trio.CancelScope]] = []
         self._feedback = Feedback(health=router.health, times=times)
         self._log = RequestLog(events=events, metrics=metrics, clock=clock)
         self._retries = RetryPolicy(budgets=budgets, log=self._log)
@@ -160,12 +161,22 @@
     async def _serve(self, job: ActiveRequest, responder: Responder) -> Failure | None:
         now_s = self._clock()
         self._retries.count_request(job, now_s=now_s)
-        with trio.move_on_after(max(0.0, job.deadline_s - now_s)):
-            if not job.route.stages:
-                return await self._send_until_done(job, responder, ())
-            return await self._serve_staged(job, responder)
+        with trio.move_on_after(max(0.0, job.deadline_s - now_s)) as scope:
+            self._scopes.append((job, scope))
+            try:
+                if not job.route.stages:
+                    return await self._send_until_done(job, responder, ())
+                return await self._serve_staged(job, responder)
+            finally:
+                self._scopes.remove((job, scope))
         return timeout_failure(sent=job.may_have_run)
 
+    def refuse_waiting(self) -> None:
+        """Answer the requests that were not sent yet, as the process ends."""
+        for job, scope in self._scopes:
+            if not job.may_have_run:
+                scope.cancel()
+
     async def _serve_staged(
         self, job: ActiveRequest, responder: Responder
     ) -> Failure | None:
@@ -344,7 +355,7 @@
                 ):
                     job.spare_answer = outcome
                     return _SEND_AGAIN
-                await self._deliver(responder, outcome)
+                await _deliver(responder, outcome)
                 return None
             case StreamEnded(complete=True):
                 await writer.finish()
@@ -371,16 +382,9 @@
     ) -> Failure | None:
         if job.spare_answer is None or responder.status is not None:
             return failure
-        await self._deliver(responder, job.spare_answer)
+        await _deliver(responder, job.spare_answer)
         return None
 
-    async def _deliver(self, responder: Responder, answer: Answered) -> None:
-        await responder.answer(
-            status=answer.head.status,
-            headers=encode_answer(answer.head.headers),
-            body=answer.body,
-        )
-
 
 @dataclass(frozen=True)
 class _SendAgain:
@@ -388,3 +392,8 @@
 
 
 _SEND_AGAIN = _SendAgain()
+
+
+async def _deliver(responder: Responder, answer: Answered) -> None:
+    headers = encode_answer(answer.head.headers)
+    await responder.answer(status=answer.head.status, headers=headers, body=answer.body)
--- a/galenashift/gateway/_request.py
+++ b/galenashift/gateway/_request.py
@@ -35,7 +35,7 @@
 PickService = Callable[[Mapping[ServiceName, float]], ServiceName]
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, eq=False)
 class ActiveRequest:
     """A request on its way."""
 
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -317,3 +317,24 @@
             UpstreamConnection.is_quiet = original
 
     assert isinstance(play(upstream, use), Broken)
+
+
+def test_write_to_a_slow_caller_is_not_cut_by_the_upstreams_wait():
+    # Found by a hunt (kssco-swap, silent-connections, seed 134887082205): a daemon that
+    # had been frozen woke after the wait, the write of the head was cancelled, and the
+    # stream that resumed elsewhere went to the caller without a head.
+    parts = []
+
+    async def sink(head, data):
+        await trio.sleep(0.7)
+        parts.append(data)
+        return True
+
+    upstream = Upstream(
+        ("read", CHUNKED_HEAD + b"2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n", "hang")
+    )
+    outcome = play(
+        upstream, lambda exchange: exchange(request=new_request(), sink=sink)
+    )
+    assert b"".join(parts) == b"abcd"
+    assert outcome == StreamEnded(complete=True, started=True, detail="")
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -178,7 +178,14 @@
 
 
 def serve(
-    name, *outcomes, stages=None, crashes=None, config=CONFIG, headers=(), upstreams=3
+    name,
+    *outcomes,
+    stages=None,
+    crashes=None,
+    config=CONFIG,
+    headers=(),
+    upstreams=3,
+    refused_after_s=None,
 ):
     """Send one request through a relay whose upstreams behave as told."""
     exchanger = FakeExchanger(*outcomes)
@@ -231,7 +238,13 @@
             body=b"in",
             arrived_at_s=clock(),
         )
-        await relay.handle(request, responder)
+        if refused_after_s is None:
+            await relay.handle(request, responder)
+            return clock()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(relay.handle, request, responder)
+            await trio.sleep(refused_after_s)
+            relay.refuse_waiting()
         return clock()
 
     clock = trio.testing.MockClock(autojump_threshold=0)
@@ -405,3 +418,24 @@
     serve("write", 60.0, crashes=crashes)
     serve("write", answered(500), crashes=crashes)
     assert len(crashes.suspicions) == 1
+
+
+def test_waiting_request_is_refused_before_the_process_ends():
+    # A request that waited for its stages was cut when the daemon ended after SIGTERM.
+    class Waiting(FakeStages):
+        async def make(self, *, service, job):
+            await trio.sleep_forever()
+
+    pieces = ((b"galenashift-pieces", b"1"),)
+    exchanger, responder = serve(
+        "staged", stages=Waiting(), headers=pieces, refused_after_s=0.7
+    )
+    assert exchanger.requests == []
+    assert responder.status == 503
+    assert responder.elapsed_s == pytest.approx(0.7)
+
+
+def test_request_at_its_upstream_is_not_refused_as_the_process_ends():
+    # It may have run.
+    _, responder = serve("write", 60.0, refused_after_s=0.7)
+    assert responder.status == 504
