Forget upstreams that are gone, and drop settings that nothing reads

Cause: observations, counts of cold upstreams and idle connections of upstreams that had left were kept for the life of the process. Change: they are dropped with the registration; unread settings are gone; the fakes of the relay's tests are a module of their own.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from galenashift.model import CallerLimits, boot_time_s
+from galenashift.model import CallerLimits, UpstreamId, boot_time_s
 from galenashift.platform import (
     SETTINGS_PATH_VARIABLE,
     Address,
@@ -283,6 +283,14 @@
             self._cold.configure(dict(config.services_by_name))
         elif name in {"peer-registered", "peer-removed"}:
             self._cold.set_daemons(self._view.peers_by_id)
+        elif name in {"upstream-removed", "upstream-lapsed"}:
+            self._forget(UpstreamId(str(fields["upstream"])))
+
+    def _forget(self, upstream_id: UpstreamId) -> None:
+        """Drop what is known of an upstream that is gone."""
+        self._health.forget(upstream_id)
+        self._cold.forget(upstream_id)
+        self._pool.drop(upstream_id)
 
 
 def _capacity(settings: PlatformSettings) -> float:
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -1,255 +1,20 @@
 """What a caller is told after each course of a request."""
 
-import json
-from random import Random
-
 import pytest
 import trio
-import trio.testing
-
-from galenashift.gateway._budgets import RetryBudgets
-from galenashift.gateway._caller import CallerRequest
-from galenashift.gateway._choice import Router
-from galenashift.gateway._cold import ColdGate
-from galenashift.gateway._connection import AnswerHead
-from galenashift.gateway._exchange import (
-    Answered,
-    Broken,
-    NotSent,
-    Refused,
-    Silent,
-    StreamEnded,
-)
-from galenashift.gateway._health import HealthBook
-from galenashift.gateway._relay import Relay
-from galenashift.gateway._stage_outcome import StageFailed, StageMade, StageProblem
-from galenashift.gateway._times import ServiceTimes
-from galenashift.gateway._view import PlatformView
-from galenashift.gateway.tests.test_view import item, upstream_item
-from galenashift.model import AnswerFields, DaemonId, FailureDomainName, Handle
-from galenashift.platform import Bounds, Snapshot, StoreRevision, decode_answer
-from galenashift.telemetry import EventLog, Metrics
-
-_BOUNDS = Bounds(
-    config_apply_s=2.0,
-    grace_s=8.0,
-    retry_ratio=0.2,
-    retry_extra=56.0,
-    retry_window_s=10.0,
-    cold_factor=1.5,
-    cold_extra=5.0,
-)
-_FIELDS = AnswerFields(
-    attempt_id="a1", not_executed=False, load=None, cold_left_s=None, signed=True
-)
-_EVENTS = b"id: 1\ndata: x\n\n"
-
-
-def route(name, kind, **changes):
-    return {
-        "name": name,
-        "host": "h.example",
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_ms": 2000,
-        "goal_ms": 400,
-        "priority": 1,
-        "service": "pool",
-        "max_attempts": 2,
-    } | changes
-
-
-CONFIG = {
-    "version": 3,
-    "routes": [
-        route("read", "idempotent"),
-        route("write", "non_idempotent"),
-        route("stream", "streaming", sticky=True),
-        route("resumed", "streaming", sticky=True, resumable=True),
-        route("staged", "streaming", stages=[{"service": "stage", "bytes": 8000}]),
-    ],
-    "services": [
-        {"name": "pool", "max_conns": 100},
-        {
-            "name": "stage",
-            "max_conns": 100,
-            "pieces": {
-                "batch": 4,
-                "call_ms": 150,
-                "item_ms": 32,
-                "headroom_mb": 19.5,
-                "handle_s": 4,
-            },
-        },
-    ],
-    "tenants": [{"name": "org", "api_keys": ["key"], "priority": 1}],
-}
-
-
-def answered(status):
-    return Answered(
-        head=AnswerHead(status=status, headers=[(b"x-from", b"upstream")]),
-        fields=_FIELDS,
-        body=b"body",
-    )
-
 
-REFUSED = Refused(status=503, fields=_FIELDS, misdirected=False)
-BROKEN = Broken(detail="reset", reset=True)
-
-
-class FakeExchanger:
-    """Plays the outcomes in turn; a number is a time without an answer."""
-
-    def __init__(self, *outcomes):
-        self.outcomes = list(outcomes)
-        self.requests = []
-        self.upstreams = []
-
-    async def exchange(self, *, upstream, request, waits, sink=None, may_send=None):
-        self.upstreams.append(upstream.upstream_id)
-        outcome = self.outcomes.pop(0)
-        if isinstance(outcome, NotSent):
-            return outcome
-        assert may_send()
-        self.requests.append(request)
-        if isinstance(outcome, float):
-            with trio.move_on_after(waits.first_s):
-                await trio.sleep(outcome)
-            return Silent()
-        if isinstance(outcome, StreamEnded) and outcome.started:
-            head = AnswerHead(status=200, headers=[])
-            number = len(self.requests)
-            await sink(head, _EVENTS.replace(b"1", b"%d" % number))
-        return outcome
-
-
-class FakeResponder:
-    def __init__(self):
-        self.status = None
-        self.finished = False
-        self.body = b""
-        self.retry_after_s = None
-
-    async def answer(self, *, status, headers, body):
-        self.status, self.body, self.finished = status, body, True
-
-    async def fail(self, failure, *, status=None):
-        self.status = failure.http_status
-        self.retry_after_s = failure.retry_after_s
-        self.body = json.dumps({"verdict": failure.verdict.value}).encode()
-        self.finished = True
-
-    async def start(self, *, status, headers, data):
-        self.status, self.body = status, data
-
-    async def send(self, data):
-        self.body += data
-
-    async def end(self):
-        self.finished = True
-
-
-class FakeStages:
-    def __init__(self, outcome=None):
-        self.outcome = outcome
-        self.released = []
-
-    async def make(self, *, service, job):
-        await trio.sleep(0.1)
-        return self.outcome or StageMade(handles=(Handle("10.0.0.1:80/h1"),))
-
-    def release(self, service, handles):
-        self.released += handles
-
-
-class FakeCrashes:
-    """Quarantines what it is told, and notes suspicions."""
-
-    def __init__(self, *, quarantined=False):
-        self.idle = not quarantined
-        self.suspicions = []
-
-    def is_quarantined(self, request):
-        return not self.idle
-
-    def suspect(self, suspicion):
-        self.suspicions.append(suspicion)
-
-
-def serve(
-    name,
-    *outcomes,
-    stages=None,
-    crashes=None,
-    config=CONFIG,
-    headers=(),
-    upstreams=3,
-    refused_after_s=None,
-):
-    """Send one request through a relay whose upstreams behave as told."""
-    exchanger = FakeExchanger(*outcomes)
-    responder = FakeResponder()
-
-    async def run():
-        clock = trio.current_time
-        view = PlatformView(report=lambda name, fields: None)
-        items = [upstream_item(f"u{i}") for i in range(upstreams)]
-        if config is not None:
-            items.append(item("op/config", config))
-        snapshot = Snapshot(items=tuple(items), revision=StoreRevision(1))
-        view.apply_snapshot(snapshot, now_s=clock())
-        health = HealthBook()
-        cold = ColdGate(
-            daemon_id=DaemonId("d1"),
-            health=health,
-            factor=1.5,
-            extra=5.0,
-            started_at_s=-10.0,
-        )
-        relay = Relay(
-            view=view,
-            router=Router(
-                daemon_id=DaemonId("d1"),
-                failure_domain=FailureDomainName("a"),
-                health=health,
-                cold=cold,
-                random=Random(1),
-            ),
-            exchanger=exchanger,
-            stages=stages or FakeStages(),
-            budgets=RetryBudgets(bounds=_BOUNDS, daemon_count=lambda: 8),
-            times=ServiceTimes(),
-            crashes=crashes or FakeCrashes(),
-            events=EventLog(level="error"),
-            metrics=Metrics(),
-            clock=clock,
-        )
-        request = CallerRequest(
-            method="POST",
-            target=f"/{name}/x",
-            headers=[
-                (b"host", b"h.example"),
-                (b"galenashift-attempt-id", b"a1"),
-                (b"galenashift-deadline-ms", b"1500"),
-                (b"x-api-key", b"key"),
-                *headers,
-            ],
-            body=b"in",
-            arrived_at_s=clock(),
-        )
-        if refused_after_s is None:
-            await relay.handle(request, responder)
-            return clock()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(relay.handle, request, responder)
-            await trio.sleep(refused_after_s)
-            relay.refuse_waiting()
-        return clock()
-
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    responder.elapsed_s = trio.run(run, clock=clock)
-    return exchanger, responder
+from galenashift.gateway._exchange import NotSent, StreamEnded
+from galenashift.gateway._stage_outcome import StageFailed, StageProblem
+from galenashift.gateway.tests.relay_fakes import (
+    BROKEN,
+    EVENTS,
+    REFUSED,
+    FakeCrashes,
+    FakeStages,
+    answered,
+    serve,
+)
+from galenashift.platform import decode_answer
 
 
 @pytest.mark.parametrize("name", ["write", "stream"])
@@ -325,7 +90,7 @@
     resumed = dict(exchanger.requests[1].headers)
     assert resumed[b"last-event-id"] == b"1"
     assert responder.finished
-    assert responder.body == _EVENTS + _EVENTS.replace(b"1", b"2")
+    assert responder.body == EVENTS + EVENTS.replace(b"1", b"2")
 
 
 def test_broken_stream_that_may_not_resume_stays_incomplete():
--- a/galenashift/gateway/tests/test_stage_scheduler.py
+++ b/galenashift/gateway/tests/test_stage_scheduler.py
@@ -11,7 +11,7 @@
 from galenashift.gateway._stage_scheduler import StageScheduler
 from galenashift.gateway._view import PlatformView
 from galenashift.gateway.tests.factories import new_job
-from galenashift.gateway.tests.test_relay import CONFIG
+from galenashift.gateway.tests.relay_fakes import CONFIG
 from galenashift.gateway.tests.test_view import item, upstream_item
 from galenashift.model import AnswerFields, Handle, ServiceName
 from galenashift.platform import Snapshot, StoreRevision
--- a/galenashift/platform/_settings.py
+++ b/galenashift/platform/_settings.py
@@ -28,8 +28,6 @@
 class Bounds:
     """Limits on the behaviour of the whole system."""
 
-    #: Time for a configuration to be in force, in seconds.
-    config_apply_s: float
     #: Time between the signals to stop and to kill, in seconds.
     grace_s: float
     #: Repeats as a part of the requests of a service.
@@ -58,16 +56,10 @@
     peers: Address
     #: Address of the platform's store.
     store: Address
-    #: Shortest lifetime of a lease, in seconds.
-    min_lease_s: float
-    #: Memory limit of the process, in bytes.
-    memory_bytes: int
     #: Processor that the process may use, in cores.
     cores: float
     #: Bandwidth of the instance's link, in Mbit/s.
     link_mbps: float
-    #: File descriptors of the process.
-    max_descriptors: int
     bounds: Bounds
 
 
@@ -98,13 +90,9 @@
         ready=decode_address(data["listen"]["ready"]),
         peers=Address(host=str(data["ip"]), port=int(data["port_range"][0])),
         store=decode_address(platform["address"]),
-        min_lease_s=float(platform["ttl_min_ms"]) / 1000,
-        memory_bytes=int(limits["memory_mb"]) * 1_000_000,
         cores=float(limits["cpu_share"]) * float(limits["cores"]),
         link_mbps=float(limits["link_mbps"]),
-        max_descriptors=int(limits["max_fds"]),
         bounds=Bounds(
-            config_apply_s=float(bounds["config_apply_ms"]) / 1000,
             grace_s=float(bounds["grace_s"]),
             retry_ratio=float(bounds["retry_budget_ratio"]),
             retry_extra=float(bounds["budget_extra"]),
