Make stages again after a lost input

Change: each time starts without a failure; tests of the order, the release and the refusal of stages. Figures: the test of the second time fails before and passes after.

--- a/galenashift/gateway/_stage_run.py
+++ b/galenashift/gateway/_stage_run.py
@@ -156,6 +156,7 @@
         """Make all stages; those that read no common stage run at the same time."""
         if not any(self._pieces(index) for index in range(len(self._stages))):
             return None
+        self._failure = None
         done = [trio.Event() for _ in self._stages]
         async with trio.open_nursery() as nursery:
             for index in range(len(self._stages)):
--- /dev/null
+++ b/galenashift/gateway/tests/test_stage_run.py
@@ -0,0 +1,182 @@
+"""Stages of one request: order, repetition and release."""
+
+import trio
+import trio.testing
+
+from galenashift.gateway._stage_outcome import StageFailed, StageMade, StageProblem
+from galenashift.gateway._stage_run import StagedRequest, StageRun
+from galenashift.gateway._times import StageWait
+from galenashift.gateway.tests.factories import LARGE, LARGE_RESULT
+from galenashift.model import (
+    ConfigVersion,
+    Handle,
+    OrganisationId,
+    RequestKind,
+    Route,
+    RouteName,
+    RoutingConfig,
+    Service,
+    ServiceName,
+    StageSpec,
+)
+
+_SERVICE = ServiceName("stage")
+_NO_WAIT = StageWait(on_time_s=0.0, late_s=0.0)
+
+
+class FakeMaker:
+    """Makes each stage in 0.2 s, after the outcomes that are told first."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+        self.jobs = []
+        self.started_s = {}
+        self.released = []
+        self.made = 0
+
+    async def make(self, *, service, job):
+        stage = job.pieces[0].stage
+        self.jobs.append(job)
+        self.started_s[stage] = trio.current_time()
+        await trio.sleep(0.2)
+        if self.outcomes:
+            outcome = self.outcomes.pop(0)
+            if outcome is not None:
+                return outcome
+        handles = []
+        for _ in job.pieces:
+            self.made += 1
+            handles.append(Handle(f"10.0.0.1:80/{stage}-{self.made}"))
+        return StageMade(handles=tuple(handles))
+
+    def release(self, service, handles):
+        self.released += handles
+
+
+def play(maker, use, *, stages, counts, wait=_NO_WAIT):
+    async def run():
+        now_s = trio.current_time()
+        service = Service(
+            name=_SERVICE,
+            cold_s=0.0,
+            cold_rate_per_s=0.0,
+            max_connections=9,
+            pieces=LARGE,
+        )
+        config = RoutingConfig(
+            version=ConfigVersion(1),
+            routes_by_host={},
+            services_by_name={_SERVICE: service},
+            organisations_by_key=None,
+        )
+        route = Route(
+            name=RouteName("r"),
+            host="h",
+            prefix="/",
+            kind=RequestKind.STREAM,
+            timeout_s=8.0,
+            goal_s=1.5,
+            rank=1,
+            weight_by_service={ServiceName("pool"): 1.0},
+            max_attempts=1,
+            stages=stages,
+        )
+        request = StagedRequest(
+            attempt_id="a1",
+            piece_counts=counts,
+            piece_key="k",
+            organisation_id=OrganisationId("org"),
+            rank=1,
+            due_s=now_s + 1.5,
+            deadline_s=now_s + 6.0,
+            final_s=0.3,
+            domain=None,
+        )
+        stage_run = StageRun(
+            route=route,
+            config=config,
+            request=request,
+            maker=maker,
+            locate=lambda sizes: None,
+            wait=lambda service: wait,
+            clock=trio.current_time,
+        )
+        return await use(stage_run)
+
+    return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def stage(*after, size=8_000):
+    return StageSpec(service=_SERVICE, after=after, result_bytes=size)
+
+
+CHAIN = (stage(), stage(0), stage(1))
+
+
+def test_each_stage_reads_all_pieces_of_those_before():
+    maker = FakeMaker()
+    failed = play(maker, lambda run: run.make(), stages=CHAIN, counts=(2, 3, 1))
+    assert failed is None
+    inputs = [job.pieces[0].inputs for job in maker.jobs]
+    assert inputs[0] is None
+    assert [len(each) for each in inputs[1:]] == [2, 3]
+
+
+def test_only_the_last_results_are_inputs_of_the_request():
+    maker = FakeMaker()
+
+    async def use(run):
+        await run.make()
+        before = list(maker.released)
+        inputs = run.inputs
+        run.release()
+        return before, inputs
+
+    before, inputs = play(maker, use, stages=CHAIN, counts=(1, 1, 2))
+    assert [handle.split("/")[1][0] for handle in inputs] == ["2", "2"]
+    assert [handle.split("/")[1][0] for handle in before] == ["0", "1"]
+    assert len(maker.released) == 4
+
+
+def test_stages_are_made_again_after_a_lost_input():
+    # The failure of the first time was returned for the second one too, which had
+    # made all results.
+    gone = StageFailed(problem=StageProblem.INPUT_GONE)
+    maker = FakeMaker(None, gone)
+
+    async def use(run):
+        first = await run.make()
+        run.release()
+        return first, await run.make(), run.inputs
+
+    first, second, inputs = play(maker, use, stages=CHAIN, counts=(1, 1, 1))
+    assert first == gone
+    assert second is None
+    assert len(inputs) == 1
+
+
+def test_omitted_stages_are_not_made():
+    maker = FakeMaker()
+    failed = play(maker, lambda run: run.make(), stages=CHAIN, counts=(0, 0, 0))
+    assert failed is None
+    assert maker.jobs == []
+
+
+def test_large_results_are_made_last():
+    # Pattern: memory full. Made first, they would wait for three further stages.
+    maker = FakeMaker()
+    stages = (stage(size=LARGE_RESULT), stage(), stage(1), stage(2))
+    play(maker, lambda run: run.make(), stages=stages, counts=(1, 1, 1, 1))
+    assert maker.started_s[0] >= maker.started_s[2]
+
+
+def test_request_that_cannot_end_in_time_is_refused():
+    # Pattern: overload at a later stage. Its first stage would be wasted.
+    async def use(run):
+        return run.refusal(now_s=trio.current_time())
+
+    long = StageWait(on_time_s=3.0, late_s=9.0)
+    refused = play(FakeMaker(), use, stages=CHAIN, counts=(1, 1, 1), wait=long)
+    assert refused.problem is StageProblem.LATE
+    assert refused.retry_after_s > 0
+    assert play(FakeMaker(), use, stages=CHAIN, counts=(1, 1, 1)) is None
