Begin no write to a caller once the wait for its upstream has ended

Change: a cancelled wait ends before the write. Figures: the new test, which stops the process with data waiting, fails before and passes after.

--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -268,6 +268,8 @@
         while (data := await self._connection.read_data()) is not None:
             # The wait bounds the upstream, not the caller: a write that was cut could
             # not be continued by another upstream.
+            if scope.cancel_called:
+                await trio.lowlevel.checkpoint()
             deadline, scope.deadline = scope.deadline, math.inf
             wrote = await sink(head, data)
             self._started = self._started or wrote
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -1,5 +1,7 @@
 """Exchanges with upstreams that misbehave on their sockets."""
 
+import os
+import time
 from functools import partial
 
 import pytest
@@ -63,6 +65,10 @@
                 await stream.send_all(step)
             elif step == "read":
                 self.received.append(await stream.receive_some(65_536))
+            elif isinstance(step, tuple):
+                # The whole process stands still just after the bytes have arrived.
+                os.write(stream.socket.fileno(), step[0])
+                time.sleep(step[1])
             elif step == "hang":
                 await trio.sleep_forever()
             elif step == "reset":
@@ -338,3 +344,21 @@
     )
     assert b"".join(parts) == b"abcd"
     assert outcome == StreamEnded(complete=True, started=True, detail="")
+
+
+def test_data_that_waits_while_the_process_stands_still_is_not_half_written():
+    # Found by a hunt (koinos-sync, silent-connections, seed 406440851428): after a
+    # freeze, data and the end of the wait are seen in the same turn of the loop, and
+    # the write was begun and cut.
+    begun, ended = [], []
+
+    async def sink(head, data):
+        begun.append(data)
+        await trio.sleep(0.01)
+        ended.append(data)
+        return True
+
+    frozen = (CHUNKED_HEAD + b"2\r\nab\r\n0\r\n\r\n", 0.8)
+    upstream = Upstream(("read", frozen, "hang"))
+    play(upstream, lambda exchange: exchange(request=new_request(), sink=sink))
+    assert begun == ended
