Learn the speed of a stage upstream from calls that made pieces only

Cause: an upstream without room answers in 3 ms. Its speed was learned from that answer, so the next plan preferred it, and the pieces it did not make counted as made in the measured rate. Change: speed and rate are learned from pieces that were made. The log line of a call tells how many were.

--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -213,8 +213,12 @@
             state.busy = False
             state.pending_bytes = 0
         now_s = self._clock()
-        self._log_call(service, batch, outcome, now_s - started_s)
-        self._settle(service, batch, outcome, elapsed_s=now_s - started_s)
+        elapsed_s = now_s - started_s
+        made = self._settle(batch, outcome)
+        if made:
+            self._learn_speed(service, state, len(batch.pieces), elapsed_s)
+            self._queues_by_service[service].note_made(made)
+        self._log_call(service, batch, outcome, made=made, elapsed_s=elapsed_s)
         self._pump(service)
 
     async def _exchange(
@@ -234,7 +238,13 @@
         )
 
     def _log_call(
-        self, service: ServiceName, batch: Batch, outcome: Outcome, elapsed_s: float
+        self,
+        service: ServiceName,
+        batch: Batch,
+        outcome: Outcome,
+        *,
+        made: int,
+        elapsed_s: float,
     ) -> None:
         self._metrics.observe("stage_call_seconds", elapsed_s, service=service)
         attempts = sorted({ref.piece.attempt_id for ref in batch.pieces})
@@ -243,6 +253,7 @@
             service=service,
             upstream=batch.upstream_id,
             pieces=len(batch.pieces),
+            made=made,
             requests=",".join(attempts),
             outcome=type(outcome).__name__,
             elapsed_s=elapsed_s,
@@ -252,29 +263,21 @@
             ),
         )
 
-    def _settle(
-        self,
-        service: ServiceName,
-        batch: Batch,
-        outcome: Outcome,
-        *,
-        elapsed_s: float,
-    ) -> None:
+    def _settle(self, batch: Batch, outcome: Outcome) -> int:
+        """Keep or repeat the pieces of a call, and return how many were made."""
         state = self._upstreams.of(batch.upstream_id)
         now_s = self._clock()
         match outcome:
             case Answered(head=head, body=body) if head.status == _OK:
-                self._learn_speed(service, state, len(batch.pieces), elapsed_s)
-                self._queues_by_service[service].note_made(len(batch.pieces))
-                self._settle_answer(batch, body, state, now_s)
+                return self._settle_answer(batch, body, state, now_s)
             case Refused():
                 state.paused_until_s = now_s + _REFUSED_PAUSE_S
                 for ref in batch.pieces:
                     ref.job.attempts_by_index[ref.index] -= 1
-                self._requeue(batch.pieces)
             case Answered() | Broken() | NotSent() | Silent() | StreamEnded():
                 state.paused_until_s = now_s + _FAILURE_PAUSE_S
-                self._requeue(batch.pieces)
+        self._requeue(batch.pieces)
+        return 0
 
     def _learn_speed(
         self, service: ServiceName, state: StageUpstream, pieces: int, elapsed_s: float
@@ -285,7 +288,7 @@
 
     def _settle_answer(
         self, batch: Batch, body: bytes, state: StageUpstream, now_s: float
-    ) -> None:
+    ) -> int:
         try:
             results = decode_run(body, count=len(batch.pieces))
         except StageAnswerError as error:
@@ -294,7 +297,7 @@
             )
             state.paused_until_s = now_s + _FAILURE_PAUSE_S
             self._requeue(batch.pieces)
-            return
+            return 0
         for ref, result in zip(batch.pieces, results, strict=True):
             match result:
                 case PieceProblem.LATE:
@@ -311,6 +314,7 @@
                     self._requeue((ref,))
                 case handle:
                     self._keep(ref, handle, batch.upstream_id, now_s)
+        return sum(not isinstance(each, PieceProblem) for each in results)
 
     def _keep(
         self, ref: PieceRef, handle: Handle, upstream_id: UpstreamId, now_s: float
--- a/galenashift/gateway/tests/test_stage_scheduler.py
+++ b/galenashift/gateway/tests/test_stage_scheduler.py
@@ -33,11 +33,15 @@
 
 
 class FakeStageUpstreams:
-    """Makes each piece in 0.2 s, after the outcomes that are told first."""
+    """Makes each piece in 0.2 s, or as told, after the outcomes that come first."""
 
     def __init__(self, *outcomes):
         self.outcomes = list(outcomes)
         self.calls = []
+        #: Time that each call was given, in seconds.
+        self.waits_s = []
+        #: Time that a call takes, in seconds.
+        self.work_s = 0.2
         self.freed = []
         self.made = 0
 
@@ -47,7 +51,8 @@
             self.freed += body["handles"]
             return answer({})
         self.calls.append((upstream.upstream_id, len(body["items"])))
-        await trio.sleep(0.2)
+        self.waits_s.append(waits.first_s)
+        await trio.sleep(self.work_s)
         if self.outcomes:
             outcome = self.outcomes.pop(0)
             if outcome is not None:
@@ -127,6 +132,23 @@
     assert isinstance(outcome, StageMade)
 
 
+def test_upstream_without_room_does_not_look_fast():
+    # Pattern: results of daemons that died fill an upstream, which answers at once.
+    # Its next call would get all pieces, and the upstream with room none.
+    full = answer({"items": [{"reason": "room"}, {"reason": "room"}]})
+    exchanger = FakeStageUpstreams(*[full] * 8)
+    exchanger.work_s = 0.003
+
+    job = new_job("a", pieces=2, due_s=1, deadline_s=60)
+    play(
+        exchanger,
+        lambda scheduler: scheduler.make(service=_SERVICE, job=job),
+        upstreams=1,
+    )
+    assert len(exchanger.waits_s) == 9
+    assert len(set(exchanger.waits_s)) == 1
+
+
 def test_full_upstream_costs_no_attempt():
     _, outcome = make(_REFUSED, _REFUSED, _REFUSED, _REFUSED, pieces=1)
     assert isinstance(outcome, StageMade)
