--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -83,6 +83,7 @@
         self._watch = StoreWatch(
             store=store,
             view=self._view,
+            in_force_s=min(settings.bounds.drain_s, settings.bounds.apply_s),
             events=self._events,
             metrics=self._metrics,
             clock=clock,
--- a/galenashift/gateway/_store_watch.py
+++ b/galenashift/gateway/_store_watch.py
@@ -26,8 +26,9 @@
 #: Longest wait of a watch, in seconds. Keep-alive probes notice a silent connection,
 #: and renewals of the lease a silent store.
 _WATCH_WAIT_S = 10.0
-#: Pause after changes, in seconds; those that follow come in one answer.
-_GATHER_S = 0.7
+#: Pause after changes, as a part of the time within which they must be in force. Those
+#: that follow come in one answer; each call is priced, at every daemon of the fleet.
+_GATHER_PART = 0.55
 #: Pause after a failed call, in seconds.
 _RETRY_S = 0.3
 #: Lifetime of this daemon's registration without a renewal, in seconds.
@@ -39,6 +40,7 @@
 class StoreWatch:
     """Feeds the view with the store's records.
 
+    :param in_force_s: Time within which a change must be in force, in seconds.
     :param clock: Boot-time clock.
     """
 
@@ -47,10 +49,12 @@
         *,
         store: PlatformStore,
         view: PlatformView,
+        in_force_s: float,
         events: EventLog,
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
+        self._gather_s = _GATHER_PART * in_force_s
         self._store = store
         self._view = view
         self._events = events
@@ -96,7 +100,7 @@
                         self._view.apply(change, now_s=self._clock())
                     revision = changes.revision
                     if changes.changes:
-                        await trio.sleep(_GATHER_S)
+                        await trio.sleep(self._gather_s)
 
     async def _changes(
         self, revision: StoreRevision
--- a/galenashift/platform/_settings.py
+++ b/galenashift/platform/_settings.py
@@ -30,6 +30,10 @@
 
     #: Time between the signals to stop and to kill, in seconds.
     grace_s: float
+    #: Time within which an upstream that leaves must get no new work, in seconds.
+    drain_s: float
+    #: Time within which a configuration must be in force, in seconds.
+    apply_s: float
     #: Repeats as a part of the requests of a service.
     retry_ratio: float
     #: Repeats of a service in a window beyond the ratio.
@@ -94,6 +98,8 @@
         link_mbps=float(limits["link_mbps"]),
         bounds=Bounds(
             grace_s=float(bounds["grace_s"]),
+            drain_s=float(bounds["drain_ms"]) / 1000,
+            apply_s=float(bounds["config_apply_ms"]) / 1000,
             retry_ratio=float(bounds["retry_budget_ratio"]),
             retry_extra=float(bounds["budget_extra"]),
             retry_window_s=float(bounds["budget_window_s"]),
--- a/galenashift/platform/tests/test_settings.py
+++ b/galenashift/platform/tests/test_settings.py
@@ -22,6 +22,7 @@
 [bounds]
 config_apply_ms = 2000
 grace_s = 8
+drain_ms = 2000
 retry_budget_ratio = 0.2
 budget_window_s = 10
 budget_extra = 56
@@ -47,6 +48,8 @@
     assert settings.store == Address(host="10.200.1.7", port=8624)
     assert settings.cores == pytest.approx(1.074)
     assert settings.bounds.grace_s == 8.0
+    assert settings.bounds.drain_s == 2.0
+    assert settings.bounds.apply_s == 2.0
 
 
 def test_unknown_fields_are_ignored(tmp_path):
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -41,6 +41,7 @@
 [bounds]
 config_apply_ms = 2000
 grace_s = 8
+drain_ms = 2000
 retry_budget_ratio = 0.2
 budget_window_s = 10
 budget_extra = 56
