Show why a caller in a test got no answer

Cause: a test failed once with no answer, and nothing told whether the process had ended, the connection broke or the time ran out. Change: the error is printed, and the paused daemon's log is part of the assertion.

--- a/testbed/_actions.py
+++ b/testbed/_actions.py
@@ -50,7 +50,9 @@
                 document=document,
                 headers=headers,
             )
-        except _BROKEN:
+        except _BROKEN as error:
+            # Pytest shows this beside a failure.
+            print(f"{daemon.daemon_id} gave no answer: {error!r}")
             return None
         if reply.status != 429 or time.monotonic() > give_up_s:
             return reply
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -338,6 +338,8 @@
     scene.entry.process.resume()
     reply = sending.result()
     assert during == []
+    entry = scene.entry.process
+    assert reply is not None, f"running={entry.running}: {entry.log_tail()}"
     assert (reply.status, reply.verdict) == (503, "not-run")
     assert scene.runs() == []
     assert scene.retry(scene.other).status == 200
