Gather changes of the store for longer on deployments with longer bounds only

Change: the pause leaves 1.3 s of the time within which changes must be in force: 0.7 s on the small sites, 1.7 s on the grown ones.

--- a/galenashift/gateway/_store_watch.py
+++ b/galenashift/gateway/_store_watch.py
@@ -26,9 +26,12 @@
 #: Longest wait of a watch, in seconds. Keep-alive probes notice a silent connection,
 #: and renewals of the lease a silent store.
 _WATCH_WAIT_S = 10.0
-#: Pause after changes, as a part of the time within which they must be in force. Those
-#: that follow come in one answer; each call is priced, at every daemon of the fleet.
-_GATHER_PART = 0.55
+#: Time that the pause after changes leaves of the time within which they must be in
+#: force, in seconds. Changes that follow come in one answer; each call is priced, at
+#: every daemon of the fleet.
+_GATHER_MARGIN_S = 1.3
+#: Least pause after changes, in seconds.
+_MIN_GATHER_S = 0.2
 #: Pause after a failed call, in seconds.
 _RETRY_S = 0.3
 #: Lifetime of this daemon's registration without a renewal, in seconds.
@@ -54,7 +57,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
-        self._gather_s = _GATHER_PART * in_force_s
+        self._gather_s = max(_MIN_GATHER_S, in_force_s - _GATHER_MARGIN_S)
         self._store = store
         self._view = view
         self._events = events
