--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -1,5 +1,6 @@
 """Invariants 1 and 4: whole answers, each to its own request, under failures."""
 
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -125,7 +126,13 @@
     started = [
         each for each in executions if each["tokens"] or each["outcome"] != "cancelled"
     ]
-    assert len(started) == STREAMS
+    assert len(started) == STREAMS, _repeated(started)
+
+
+def _repeated(executions):
+    """List the executions of streams that were executed more than once."""
+    count_by_digest = Counter(each["input_digest"] for each in executions)
+    return [each for each in executions if count_by_digest[each["input_digest"]] > 1]
 
 
 @pytest.mark.parametrize(
