--- a/bench/_logging.py
+++ b/bench/_logging.py
@@ -39,6 +39,7 @@
         events = EventLog(stream=output, max_indexed_requests=0)
         written_us = []
         for _ in range(_ROUNDS):
+            # Lines are limited by the second, so each round has one of its own.
             time.sleep(1.0 - time.monotonic() % 1.0)
             written_us.append(_line_us(events, _LINES))
         _line_us(events, MAX_LINES_PER_S)
