Turn malformed records, headers and frames into typed errors

Cause: one record with an infinite number or deep nesting, which all daemons read, raised OverflowError or RecursionError in the store watch and ended every process. A keep-alive timeout of a superscript digit, an unknown problem in a frame of a peer, or a header of the store that is not UTF-8 did the same. NaN and infinity passed as timeouts, capacities and deadlines, and a count of a thousand million pieces used up the memory. Ruled out: a schema library; the decoders need the ranges of single numbers only. Change: one module checks JSON, numbers and texts; stages that depend on each other are a malformed route; a malformed configuration leaves the last one in force, which is logged; frames of peers are decoded in a module of their own; bodies of the store are bounded. Property tests give any bytes to each decoder.

--- a/galenashift/gateway/_stage_link.py
+++ b/galenashift/gateway/_stage_link.py
@@ -7,13 +7,7 @@
 
 import trio
 
-from galenashift.model import (
-    DaemonId,
-    FailureDomainName,
-    Handle,
-    OrganisationId,
-    ServiceName,
-)
+from galenashift.model import DaemonId, Handle, ServiceName
 from galenashift.peers import (
     MAX_FRAME_BYTES,
     CodecError,
@@ -24,13 +18,22 @@
     encode,
     idl,
 )
-from galenashift.platform import Address, Piece
+from galenashift.platform import Address
 
 from ._connection import ConnectFailed, open_socket, set_socket_timeouts
-from ._stage_job import JobId, StageJob
-from ._stage_outcome import StageFailed, StageOutcome, StageProblem, StageSucceeded
+from ._stage_frames import (
+    JobRequest,
+    decode_handles,
+    decode_job,
+    decode_result,
+    decode_wait,
+    encode_job,
+    encode_result,
+)
+from ._stage_job import StageJob
+from ._stage_outcome import StageFailed, StageOutcome, StageProblem
 from ._stage_scheduler import StageScheduler
-from ._times import ServiceLatencies, StageWait
+from ._times import ServiceLatencies
 
 #: Interval between keepalive frames, in seconds.
 _KEEPALIVE_INTERVAL_S = 0.2
@@ -45,92 +48,6 @@
 _LINK_ERRORS = (FrameError, ConnectionEnded, CodecError)
 
 
-def _to_milliseconds(duration_s: float) -> int:
-    return max(0, min(int(duration_s * 1000), 2**31 - 1))
-
-
-def _encode_job(job_id: int, service: ServiceName, job: StageJob, now_s: float) -> Any:
-    piece = job.pieces[0]
-    return idl.StageJob(
-        job_id=job_id,
-        stage_service=service,
-        attempt_id=piece.attempt_id,
-        stage=piece.stage,
-        pieces=len(job.pieces),
-        key=piece.key,
-        reads_inputs=piece.inputs is not None,
-        inputs=list(piece.inputs or ()),
-        due_ms=int((job.due_s - now_s) * 1000),
-        deadline_ms=_to_milliseconds(job.deadline_s - now_s),
-        tail_ms=_to_milliseconds(job.tail_s),
-        rank=job.rank,
-        organisation=job.organisation_id,
-        first=job.first,
-        result_bytes=job.result_bytes,
-        domain=job.domain,
-    )
-
-
-def _decode_job(message: Any, *, link_name: str, now_s: float) -> StageJob:
-    inputs = tuple(Handle(each) for each in message.inputs or ())
-    pieces = tuple(
-        Piece(
-            attempt_id=message.attempt_id,
-            stage=message.stage,
-            index=index,
-            key=message.key or "",
-            inputs=inputs if message.reads_inputs else None,
-        )
-        for index in range(message.pieces)
-    )
-    return StageJob(
-        job_id=JobId(f"{link_name}/{message.job_id}"),
-        pieces=pieces,
-        due_s=now_s + message.due_ms / 1000,
-        deadline_s=now_s + message.deadline_ms / 1000,
-        tail_s=message.tail_ms / 1000,
-        rank=message.rank,
-        organisation_id=OrganisationId(message.organisation or ""),
-        first=bool(message.first),
-        result_bytes=message.result_bytes,
-        domain=(None if message.domain is None else FailureDomainName(message.domain)),
-    )
-
-
-def _encode_result(job_id: int, outcome: StageOutcome, wait: StageWait | None) -> Any:
-    waits = {}
-    if wait is not None:
-        waits = {
-            "on_time_wait_ms": _to_milliseconds(wait.on_time_s),
-            "late_wait_ms": _to_milliseconds(wait.late_s),
-        }
-    match outcome:
-        case StageSucceeded(handles=handles):
-            return idl.StageResult(job_id=job_id, handles=list(handles), **waits)
-        case StageFailed(problem=problem, retry_after_s=retry_after_s):
-            return idl.StageResult(
-                job_id=job_id,
-                handles=[],
-                problem=problem.value,
-                retry_after_ms=(
-                    None if retry_after_s is None else _to_milliseconds(retry_after_s)
-                ),
-                **waits,
-            )
-
-
-def _decode_result(message: Any) -> StageOutcome:
-    if message.problem is None:
-        return StageSucceeded(
-            handles=tuple(Handle(each) for each in message.handles or ())
-        )
-    retry_after_ms = message.retry_after_ms
-    return StageFailed(
-        problem=StageProblem(message.problem),
-        retry_after_s=None if retry_after_ms is None else retry_after_ms / 1000,
-    )
-
-
 class _FrameWriter:
     """Writes frames in order, and keepalive frames while there are no others."""
 
@@ -228,25 +145,28 @@
 
     def _handle_frame(self, frame: Any, nursery: trio.Nursery) -> None:
         if frame.job is not None:
-            nursery.start_soon(self._execute, frame.job)
+            request = decode_job(frame.job, link_name=self._name, now_s=self._clock())
+            if request.number in self._scopes_by_id:
+                raise CodecError(f"job {request.number} is already being executed")
+            nursery.start_soon(self._execute, request)
         if frame.cancelled_job_id is not None:
             scope = self._scopes_by_id.get(frame.cancelled_job_id)
             if scope is not None:
                 scope.cancel()
         if frame.released:
-            self._scheduler.release([Handle(each) for each in frame.released])
+            self._scheduler.release(decode_handles(frame.released))
 
-    async def _execute(self, message: Any) -> None:
-        job = _decode_job(message, link_name=self._name, now_s=self._clock())
+    async def _execute(self, request: JobRequest) -> None:
         with trio.CancelScope() as scope:
-            self._scopes_by_id[message.job_id] = scope
+            self._scopes_by_id[request.number] = scope
             try:
-                service = ServiceName(message.stage_service)
-                outcome = await self._scheduler.execute(service=service, job=job)
+                outcome = await self._scheduler.execute(
+                    service=request.service, job=request.job
+                )
             finally:
-                del self._scopes_by_id[message.job_id]
-            wait = self._scheduler.expected_wait(service)
-            result = _encode_result(message.job_id, outcome, wait)
+                self._scopes_by_id.pop(request.number, None)
+            wait = self._scheduler.expected_wait(request.service)
+            result = encode_result(request.number, outcome, wait)
             self._writer.enqueue(idl.StageFrame(result=result))
 
 
@@ -255,6 +175,8 @@
     """A request that waits for the result of its job."""
 
     service: ServiceName
+    #: Number of pieces of the job.
+    pieces: int
     done: trio.Event = field(default_factory=trio.Event)
     #: The initial value applies if the link breaks before a result arrives.
     outcome: StageOutcome = _UNREACHABLE
@@ -349,13 +271,11 @@
         waiter = self._waiters_by_id.get(frame.result.job_id)
         if waiter is None:
             return
-        if frame.result.late_wait_ms is not None:
-            wait = StageWait(
-                on_time_s=frame.result.on_time_wait_ms / 1000,
-                late_s=frame.result.late_wait_ms / 1000,
-            )
+        wait = decode_wait(frame.result)
+        outcome = decode_result(frame.result, pieces=waiter.pieces)
+        if wait is not None:
             self._latencies.record_wait(waiter.service, wait, now_s=self._clock())
-        waiter.outcome = _decode_result(frame.result)
+        waiter.outcome = outcome
         waiter.done.set()
 
     async def execute(self, *, service: ServiceName, job: StageJob) -> StageOutcome:
@@ -368,11 +288,11 @@
             return _UNREACHABLE
         self._last_job_number += 1
         job_number = self._last_job_number
-        waiter = _Waiter(service=service)
+        waiter = _Waiter(service=service, pieces=len(job.pieces))
         if not self._waiters_by_id:
             self._waiting_since_s = self._clock()
         self._waiters_by_id[job_number] = waiter
-        message = _encode_job(job_number, service, job, self._clock())
+        message = encode_job(job_number, service, job, self._clock())
         try:
             self._writer.enqueue(idl.StageFrame(job=message))
             await waiter.done.wait()
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -187,7 +187,7 @@
     def _apply_item(self, item: Item, now_s: float) -> None:
         try:
             if item.key == CONFIG_KEY:
-                self._adopt_config(decode_config(item.value))
+                self._apply_config(item)
             elif item.key.startswith(EVACUATION_PREFIX):
                 self._evacuate(decode_evacuated(item.key))
             elif item.key.startswith(UPSTREAM_PREFIX):
@@ -209,6 +209,18 @@
         elif key.startswith(CRASH_PREFIX):
             self._remove_crash(key)
 
+    def _apply_config(self, item: Item) -> None:
+        """Adopt a configuration; the last valid one stays in force otherwise."""
+        try:
+            self._adopt_config(decode_config(item.value))
+        except RecordError as error:
+            fields = {
+                "in_force": None if self.config is None else self.config.version,
+                "revision": item.revision,
+                "detail": error,
+            }
+            self._report("config-rejected", fields)
+
     def _adopt_config(self, config: RoutingConfig) -> None:
         if self.config is not None and config.version <= self.config.version:
             return
--- a/galenashift/gateway/tests/test_view.py
+++ b/galenashift/gateway/tests/test_view.py
@@ -54,6 +54,23 @@
     ]
 
 
+@pytest.mark.parametrize("value", [b"{", b"[" * 200_000, b'{"version": 1e999}'])
+def test_malformed_configuration_leaves_the_last_one_in_force(value):
+    # All daemons read the same record, so an exception would end the whole fleet.
+    view = new_view(config_item(7))
+    view.apply(item("op/config", value), now_s=0.0)
+    assert view.config.version == 7
+    assert view.reports[-1] == "config-rejected"
+
+
+def test_malformed_registration_does_not_affect_the_others():
+    view = new_view(upstream_item("a"), upstream_item("b"))
+    for name in ("a", "c"):
+        value = json.dumps({"slots": "RAW"}).replace('"RAW"', "1e999").encode()
+        view.apply(item(f"servers/{name}", value), now_s=0.0)
+    assert ids(view) == ["b"]
+
+
 def test_older_configuration_is_ignored():
     # A listing that is older than a change must not revert it.
     view = new_view(config_item(7))
--- a/galenashift/platform/__init__.py
+++ b/galenashift/platform/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ._headers import (
+    MAX_PIECES,
     HeaderError,
     Headers,
     decode_answer,
@@ -72,6 +73,7 @@
     "DAEMON_PREFIX",
     "EVACUATION_PREFIX",
     "FREE_PATH",
+    "MAX_PIECES",
     "OPERATOR_PREFIX",
     "RUN_PATH",
     "SETTINGS_PATH_VARIABLE",
--- a/galenashift/platform/_headers.py
+++ b/galenashift/platform/_headers.py
@@ -12,6 +12,8 @@
     UpstreamLoad,
 )
 
+from ._decoding import MAX_DURATION_MS, parse_integer, parse_milliseconds
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 _ATTEMPT_ID = b"galenashift-attempt-id"
@@ -66,6 +68,9 @@
     }
 )
 _MAX_RANK = 9
+#: Most pieces of all stages of a request. Each piece takes memory in the batching
+#: daemon, so a larger count would exhaust it.
+MAX_PIECES = 10_000
 
 
 class HeaderError(ValueError):
@@ -95,10 +100,10 @@
     try:
         return RequestFields(
             attempt_id=find_header(headers, _ATTEMPT_ID) or "",
-            wait_s=None if wait_ms is None else float(wait_ms) / 1000,
+            wait_s=None if wait_ms is None else parse_milliseconds(wait_ms),
             api_key=find_header(headers, _API_KEY),
             prompt_parts=tuple(_decode_prompt_parts(parts or "")),
-            piece_counts=tuple(int(each) for each in (counts or "").split(",") if each),
+            piece_counts=_decode_piece_counts(counts or ""),
             piece_key=find_header(headers, _PIECE_KEY) or "",
             last_event_id=find_header(headers, _LAST_EVENT_ID),
         )
@@ -106,11 +111,20 @@
         raise HeaderError(f"malformed request header: {error}") from error
 
 
+def _decode_piece_counts(text: str) -> tuple[int, ...]:
+    counts = tuple(
+        parse_integer(each, maximum=MAX_PIECES) for each in text.split(",") if each
+    )
+    if sum(counts) > MAX_PIECES:
+        raise ValueError(f"the request has more than {MAX_PIECES} pieces")
+    return counts
+
+
 def _decode_prompt_parts(text: str) -> Iterable[PromptPart]:
     for entry in text.split(","):
         part_id, _, tokens = entry.strip().partition(":")
         if part_id:
-            yield PromptPart(part_id=part_id, tokens=int(tokens))
+            yield PromptPart(part_id=part_id, tokens=parse_integer(tokens))
 
 
 def encode_request(
@@ -173,7 +187,7 @@
         attempt_id=find_header(headers, _ATTEMPT_ID),
         not_executed=find_header(headers, _NOT_EXECUTED) is not None,
         load=_decode_load(find_header(headers, _LOAD)),
-        cold_left_s=_decode_milliseconds(cold_ms),
+        cold_left_s=None if cold_ms is None else _decode_milliseconds(cold_ms),
         signed=find_header(headers, _SIGNATURE) is not None,
     )
 
@@ -182,19 +196,18 @@
     if text is None:
         return None
     try:
-        running, waiting, slots = (int(each) for each in text.split(","))
+        running, waiting, slots = (parse_integer(each) for each in text.split(","))
     except ValueError:
         # The load only informs routing; a malformed value must not fail the answer.
         return None
     return UpstreamLoad(running=running, waiting=waiting, slots=slots)
 
 
-def _decode_milliseconds(text: str | None) -> float | None:
-    if text is None:
-        return None
+def _decode_milliseconds(text: str) -> float | None:
     try:
-        return float(text) / 1000
+        return parse_milliseconds(text)
     except ValueError:
+        # As for the load, the answer stays valid.
         return None
 
 
@@ -222,6 +235,7 @@
         return None
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return float(value)
+        # `str.isdigit` also accepts digits such as "²", which `int` does not.
+        if name.lower() == "timeout" and value.isascii() and value.isdecimal():
+            return min(float(value), MAX_DURATION_MS / 1000)
     return None
--- a/galenashift/platform/_records.py
+++ b/galenashift/platform/_records.py
@@ -1,7 +1,7 @@
 """Records in the platform's store: configuration, registrations and crash reports."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -26,6 +26,14 @@
     UpstreamId,
 )
 
+from ._decoding import (
+    DECODING_ERRORS,
+    decode_json,
+    to_integer,
+    to_number,
+    to_seconds,
+    to_text,
+)
 from ._settings import Address, decode_address
 
 CONFIG_KEY = "op/config"
@@ -42,6 +50,25 @@
 }
 _BYTES_PER_MEGABYTE = 1_000_000
 _DEFAULT_RANK = 5
+_MAX_RANK = 1_000_000
+#: Largest weight of a service in a route.
+_MAX_WEIGHT = 1e9
+#: Largest rate of requests, in requests per second.
+_MAX_RATE_PER_S = 1e6
+#: Largest memory for results, in megabytes.
+_MAX_MEGABYTES = 1e9
+#: Most pieces of one call.
+_MAX_BATCH = 100_000
+#: Shortest call of a stage upstream, in milliseconds; durations are divided by it.
+_MIN_CALL_MS = 0.001
+#: Largest result of a piece, in bytes; it is sent to peers as a 32-bit number.
+_MAX_RESULT_BYTES = 2**31 - 1
+#: Most slots or connections of an upstream.
+_MAX_SLOTS = 1_000_000
+#: Most seconds of a duration that a record gives in seconds.
+_MAX_DURATION_S = 86_400.0
+#: Largest capacity of a daemon, in cores.
+_MAX_CAPACITY = 10_000.0
 
 
 class RecordError(ValueError):
@@ -94,9 +121,9 @@
     :raises RecordError: If the record is malformed.
     """
     try:
-        return _parse_config(json.loads(value))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise RecordError(f"configuration is malformed: {error!r}") from error
+        return _parse_config(decode_json(value))
+    except DECODING_ERRORS as error:
+        raise RecordError(f"configuration is malformed: {error!r:.300}") from error
 
 
 def _parse_config(data: Mapping[str, Any]) -> RoutingConfig:
@@ -106,7 +133,7 @@
         routes_by_host.setdefault(route.host, {})[route.prefix] = route
     services = (_parse_service(entry) for entry in data["services"])
     return RoutingConfig(
-        version=ConfigVersion(int(data["version"])),
+        version=ConfigVersion(to_integer(data["version"])),
         routes_by_host=routes_by_host,
         services_by_name={service.name: service for service in services},
         organisations_by_key=_parse_organisations(data.get("tenants")),
@@ -116,57 +143,98 @@
 
 def _parse_route(data: Mapping[str, Any]) -> Route:
     split = data.get("split") or [{"service": data.get("service"), "weight": 1}]
+    stages = tuple(_parse_stage(each) for each in data.get("stages") or ())
+    _check_order(stages)
     return Route(
-        name=RouteName(str(data.get("name", ""))),
-        host=str(data["host"]).lower(),
-        prefix=str(data["prefix"]),
+        name=RouteName(to_text(data.get("name", ""))),
+        host=to_text(data["host"]).lower(),
+        prefix=to_text(data["prefix"]),
         kind=_KIND_BY_NAME[data["kind"]],
-        timeout_s=float(data["timeout_ms"]) / 1000,
-        latency_goal_s=float(data.get("goal_ms") or data["timeout_ms"]) / 1000,
-        rank=int(data.get("priority", _DEFAULT_RANK)),
-        weight_by_service={
-            ServiceName(str(each["service"])): float(each["weight"]) for each in split
-        },
-        max_attempts=int(data.get("max_attempts", 1)),
-        stages=tuple(_parse_stage(each) for each in data.get("stages") or ()),
+        timeout_s=to_seconds(data["timeout_ms"], minimum_ms=1),
+        latency_goal_s=to_seconds(data.get("goal_ms") or data["timeout_ms"]),
+        rank=_parse_rank(data.get("priority", _DEFAULT_RANK)),
+        weight_by_service=_parse_weights(split),
+        max_attempts=to_integer(data.get("max_attempts", 1)),
+        stages=stages,
         public=bool(data.get("no_auth", False)),
         prefix_cached=bool(data.get("sticky", False)),
         resumable=bool(data.get("resumable", False)),
-        event_gap_goal_s=float(data.get("gap_target_ms") or 0) / 1000,
+        event_gap_goal_s=to_seconds(data.get("gap_target_ms") or 0),
     )
 
 
+def _parse_weights(split: Iterable[Mapping[str, Any]]) -> dict[ServiceName, float]:
+    weight_by_service = {
+        ServiceName(to_text(each["service"])): to_number(
+            each["weight"], maximum=_MAX_WEIGHT
+        )
+        for each in split
+    }
+    if not any(weight_by_service.values()):
+        raise ValueError("a route needs a service with a weight above 0")
+    return weight_by_service
+
+
+def _parse_rank(value: object) -> int:
+    return to_integer(value, minimum=-_MAX_RANK, maximum=_MAX_RANK)
+
+
 def _parse_stage(data: Mapping[str, Any]) -> StageSpec:
     return StageSpec(
-        service=ServiceName(str(data["service"])),
-        after=tuple(int(each) for each in data.get("after") or ()),
+        service=ServiceName(to_text(data["service"])),
+        after=tuple(to_integer(each) for each in data.get("after") or ()),
         # The platform names the size of one result "bytes".
-        result_bytes=int(data.get("bytes", 0)),
+        result_bytes=to_integer(data.get("bytes", 0), maximum=_MAX_RESULT_BYTES),
     )
 
 
+def _check_order(stages: Sequence[StageSpec]) -> None:
+    """Check that each stage can run after the stages whose results it reads.
+
+    :raises ValueError: If a stage does not exist or depends on itself.
+    """
+    waiting = set(range(len(stages)))
+    while waiting:
+        runnable = {
+            index for index in waiting if waiting.isdisjoint(stages[index].after)
+        }
+        if not runnable:
+            raise ValueError(f"stages {sorted(waiting)} depend on each other")
+        waiting -= runnable
+    missing = {each for stage in stages for each in stage.after} - set(
+        range(len(stages))
+    )
+    if missing:
+        raise ValueError(f"stages {sorted(missing)} do not exist")
+
+
 def _parse_service(data: Mapping[str, Any]) -> Service:
     engine = data.get("engine") or {}
     pieces = data.get("pieces")
     return Service(
-        name=ServiceName(str(data["name"])),
-        cold_s=float(data.get("cold_s", 0)),
-        cold_rate_per_s=float(data.get("cold_per_s", 0)),
-        max_connections=int(data.get("max_conns", 0)),
+        name=ServiceName(to_text(data["name"])),
+        cold_s=to_number(data.get("cold_s", 0), maximum=_MAX_DURATION_S),
+        cold_rate_per_s=to_number(data.get("cold_per_s", 0), maximum=_MAX_RATE_PER_S),
+        max_connections=to_integer(data.get("max_conns", 0), maximum=_MAX_SLOTS),
         pieces=None if pieces is None else _parse_pieces(pieces),
-        slots=int(engine["slots"]) if "slots" in engine else None,
+        slots=(
+            to_integer(engine["slots"], maximum=_MAX_SLOTS)
+            if "slots" in engine
+            else None
+        ),
     )
 
 
 def _parse_pieces(data: Mapping[str, Any]) -> PieceLimits:
     return PieceLimits(
-        batch=int(data["batch"]),
-        call_overhead_s=float(data["call_ms"]) / 1000,
-        piece_duration_s=float(data["item_ms"]) / 1000,
+        batch=to_integer(data["batch"], minimum=1, maximum=_MAX_BATCH),
+        call_overhead_s=to_seconds(data["call_ms"], minimum_ms=_MIN_CALL_MS),
+        piece_duration_s=to_seconds(data["item_ms"]),
         # Despite its name, "headroom_mb" is the memory for results, not a reserve.
-        result_bytes=float(data["headroom_mb"]) * _BYTES_PER_MEGABYTE,
+        result_bytes=to_number(data["headroom_mb"], maximum=_MAX_MEGABYTES)
+        * _BYTES_PER_MEGABYTE,
         # The lifetime of a result, which the platform calls a handle.
-        result_lifetime_s=float(data["handle_s"]),
+        result_lifetime_s=to_number(data["handle_s"], maximum=_MAX_DURATION_S),
     )
 
 
@@ -177,19 +245,21 @@
     for data in tenants:
         rank = data.get("priority")
         organisation = Organisation(
-            organisation_id=OrganisationId(str(data["name"])),
-            rank=None if rank is None else int(rank),
+            organisation_id=OrganisationId(to_text(data["name"])),
+            rank=None if rank is None else _parse_rank(rank),
         )
         for key in data.get("api_keys") or ():
-            organisations_by_key[str(key)] = organisation
+            organisations_by_key[to_text(key)] = organisation
     return organisations_by_key
 
 
 def _parse_limits(data: Mapping[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        max_header_bytes=int(data.get("max_header_bytes", default.max_header_bytes)),
-        max_body_bytes=int(data.get("max_body_bytes", default.max_body_bytes)),
+        max_header_bytes=to_integer(
+            data.get("max_header_bytes", default.max_header_bytes)
+        ),
+        max_body_bytes=to_integer(data.get("max_body_bytes", default.max_body_bytes)),
         header_timeout_s=_optional_ms_as_s(
             data, "header_timeout_ms", default.header_timeout_s
         ),
@@ -200,7 +270,7 @@
 
 
 def _optional_ms_as_s(data: Mapping[str, Any], name: str, default: float) -> float:
-    return float(data[name]) / 1000 if name in data else default
+    return to_seconds(data[name]) if name in data else default
 
 
 def decode_upstream(*, key: str, value: bytes) -> RegisteredUpstream:
@@ -210,43 +280,30 @@
     :raises RecordError: If a field is missing or has an invalid value.
     """
     try:
-        data = json.loads(value)
-        return _parse_upstream(UpstreamId(key.removeprefix(UPSTREAM_PREFIX)), data)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise RecordError(f"registration {key} is malformed: {error!r}") from error
+        upstream_id = UpstreamId(to_text(key.removeprefix(UPSTREAM_PREFIX)))
+        return _parse_upstream(upstream_id, decode_json(value))
+    except DECODING_ERRORS as error:
+        raise RecordError(f"registration {key} is malformed: {error!r:.300}") from error
 
 
 def _parse_upstream(
     upstream_id: UpstreamId, data: Mapping[str, Any]
 ) -> RegisteredUpstream:
-    address = decode_address(_require_text(data, "address"))
+    address = decode_address(to_text(data["address"]))
+    started_at_ms = data.get("born")
     return RegisteredUpstream(
         upstream_id=upstream_id,
-        service=ServiceName(_require_text(data, "service")),
+        service=ServiceName(to_text(data["service"])),
         host=address.host,
         port=address.port,
-        failure_domain=FailureDomainName(_require_text(data, "zone")),
-        state=InstanceState(_require_text(data, "state")),
-        slots=int(_require_number(data, "slots")),
-        cold_left_s=_require_number(data, "cold_left_ms") / 1000,
-        started_at_ms=data.get("born"),
+        failure_domain=FailureDomainName(to_text(data["zone"])),
+        state=InstanceState(to_text(data["state"])),
+        slots=to_integer(data["slots"], maximum=_MAX_SLOTS),
+        cold_left_s=to_seconds(data["cold_left_ms"]),
+        started_at_ms=None if started_at_ms is None else to_integer(started_at_ms),
     )
 
 
-def _require_text(data: Mapping[str, Any], name: str) -> str:
-    value = data[name]
-    if not isinstance(value, str):
-        raise TypeError(f"{name} is not a string")
-    return value
-
-
-def _require_number(data: Mapping[str, Any], name: str) -> float:
-    value = data[name]
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"{name} is not a number")
-    return float(value)
-
-
 def decode_evacuated(key: str) -> FailureDomainName:
     """Return the failure domain that the key of an evacuation takes out of service."""
     return FailureDomainName(key.removeprefix(EVACUATION_PREFIX))
@@ -269,10 +326,12 @@
     :raises RecordError: If the record is malformed.
     """
     try:
-        data = json.loads(value)
+        daemon_id = DaemonId(to_text(key.removeprefix(DAEMON_PREFIX)))
+        data = decode_json(value)
         peer = PeerAddress(
-            address=decode_address(data["peers"]), capacity=float(data["capacity"])
+            address=decode_address(to_text(data["peers"])),
+            capacity=to_number(data["capacity"], maximum=_MAX_CAPACITY),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise RecordError(f"registration {key} is malformed: {error!r}") from error
-    return DaemonId(key.removeprefix(DAEMON_PREFIX)), peer
+    except DECODING_ERRORS as error:
+        raise RecordError(f"registration {key} is malformed: {error!r:.300}") from error
+    return daemon_id, peer
--- a/galenashift/platform/_settings.py
+++ b/galenashift/platform/_settings.py
@@ -8,10 +8,17 @@
 
 from galenashift.model import DaemonId, FailureDomainName
 
+from ._decoding import DECODING_ERRORS, to_integer, to_number, to_seconds, to_text
+
 #: Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = "GALENASHIFT_NODE_FILE"
 
 
+_MAX_PORT = 65_535
+#: Largest number of cores, seconds, requests or Mbit/s in the settings.
+_MAX_QUANTITY = 1e9
+
+
 class SettingsError(ValueError):
     """The settings file is unusable; the message names the file or the field."""
 
@@ -80,7 +87,7 @@
         raise SettingsError(f"cannot read {path}: {error}") from error
     try:
         return _parse_settings(data)
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except DECODING_ERRORS as error:
         raise SettingsError(f"{path}: missing or wrong field: {error!r}") from error
 
 
@@ -89,27 +96,34 @@
     limits = data["limits"]
     platform = data["platform"]
     return PlatformSettings(
-        daemon_id=DaemonId(str(data["node"])),
-        failure_domain=FailureDomainName(str(data["zone"])),
+        daemon_id=DaemonId(to_text(data["node"])),
+        failure_domain=FailureDomainName(to_text(data["zone"])),
         callers=decode_address(data["listen"]["front"]),
         ready=decode_address(data["listen"]["ready"]),
-        peers=Address(host=str(data["ip"]), port=int(data["port_range"][0])),
+        peers=Address(
+            host=to_text(data["ip"]),
+            port=to_integer(data["port_range"][0], maximum=_MAX_PORT),
+        ),
         store=decode_address(platform["address"]),
-        cores=float(limits["cpu_share"]) * float(limits["cores"]),
-        link_mbps=float(limits["link_mbps"]),
+        cores=_to_quantity(limits["cpu_share"]) * _to_quantity(limits["cores"]),
+        link_mbps=_to_quantity(limits["link_mbps"]),
         bounds=Bounds(
-            grace_s=float(bounds["grace_s"]),
-            drain_limit_s=float(bounds["drain_ms"]) / 1000,
-            config_apply_limit_s=float(bounds["config_apply_ms"]) / 1000,
-            retry_ratio=float(bounds["retry_budget_ratio"]),
-            retry_extra=float(bounds["budget_extra"]),
-            retry_window_s=float(bounds["budget_window_s"]),
-            cold_factor=float(bounds["cold_factor"]),
-            cold_extra=float(bounds["cold_extra"]),
+            grace_s=_to_quantity(bounds["grace_s"]),
+            drain_limit_s=to_seconds(bounds["drain_ms"]),
+            config_apply_limit_s=to_seconds(bounds["config_apply_ms"]),
+            retry_ratio=_to_quantity(bounds["retry_budget_ratio"]),
+            retry_extra=_to_quantity(bounds["budget_extra"]),
+            retry_window_s=_to_quantity(bounds["budget_window_s"]),
+            cold_factor=_to_quantity(bounds["cold_factor"]),
+            cold_extra=_to_quantity(bounds["cold_extra"]),
         ),
     )
 
 
+def _to_quantity(value: object) -> float:
+    return to_number(value, maximum=_MAX_QUANTITY)
+
+
 def decode_address(text: str) -> Address:
     """Parse an address such as ``10.0.0.1:80``.
 
@@ -118,4 +132,4 @@
     host, _, port = text.rpartition(":")
     if not host:
         raise ValueError(f"{text!r} is not an address with a port")
-    return Address(host=host, port=int(port))
+    return Address(host=host, port=to_integer(int(port), maximum=_MAX_PORT))
--- a/galenashift/platform/_stage_calls.py
+++ b/galenashift/platform/_stage_calls.py
@@ -1,12 +1,12 @@
 """Calls to stage services: execution of pieces, and release of their results."""
 
-import json
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
 from galenashift.model import Handle
 
+from ._decoding import DECODING_ERRORS, decode_json, to_text
 from ._store import encode_json
 
 RUN_PATH = "/galenashift/stage-run"
@@ -72,10 +72,10 @@
     :raises StageAnswerError: If the body does not hold that many results.
     """
     try:
-        items = json.loads(body)["items"]
+        items = decode_json(body)["items"]
         results = tuple(_parse_result(item) for item in items)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise StageAnswerError(f"malformed stage answer: {error!r}") from error
+    except DECODING_ERRORS as error:
+        raise StageAnswerError(f"malformed stage answer: {error!r:.300}") from error
     if len(results) != count:
         raise StageAnswerError(
             f"stage answer has {len(results)} results for {count} pieces"
@@ -85,7 +85,7 @@
 
 def _parse_result(item: dict[str, str]) -> Handle | PieceProblem:
     if "handle" in item:
-        return Handle(str(item["handle"]))
+        return Handle(to_text(item["handle"]))
     return PieceProblem(item["reason"])
 
 
--- a/galenashift/platform/_store.py
+++ b/galenashift/platform/_store.py
@@ -11,6 +11,7 @@
 
 from galenashift.store import HttpAnswer, JsonHttpClient, NoAnswer
 
+from ._decoding import DECODING_ERRORS, to_integer
 from ._settings import Address
 
 LeaseId = NewType("LeaseId", int)
@@ -114,9 +115,11 @@
                 return answer
             try:
                 page = [_parse_item(each) for each in answer["items"]]
-                revision = revision or StoreRevision(int(answer["store_revision"]))
+                revision = revision or StoreRevision(
+                    to_integer(answer["store_revision"])
+                )
                 has_more_pages = bool(answer.get("more_pages"))
-            except (KeyError, TypeError, ValueError) as error:
+            except DECODING_ERRORS as error:
                 return _malformed_answer(error)
             items += page
             if not has_more_pages or not page:
@@ -147,8 +150,8 @@
             return answer
         try:
             changes = tuple(_parse_change(each) for each in answer["events"])
-            revision = StoreRevision(int(answer["store_revision"]))
-        except (KeyError, TypeError, ValueError) as error:
+            revision = StoreRevision(to_integer(answer["store_revision"]))
+        except DECODING_ERRORS as error:
             return _malformed_answer(error)
         return ChangeSet(changes=changes, revision=revision)
 
@@ -246,22 +249,22 @@
 def _malformed_answer(error: Exception) -> StoreFailure:
     return StoreFailure(
         problem=StoreProblem.MALFORMED,
-        detail=f"malformed answer of the store: {error!r}",
+        detail=f"malformed answer of the store: {error!r:.300}",
         may_have_run=True,
     )
 
 
 def _parse_integer(answer: Mapping[str, Any], name: str) -> int | StoreFailure:
     try:
-        return int(answer[name])
-    except (KeyError, TypeError, ValueError) as error:
+        return to_integer(answer[name])
+    except DECODING_ERRORS as error:
         return _malformed_answer(error)
 
 
 def _parse_item(data: Mapping[str, Any]) -> Item:
     try:
         value = base64.b64decode(data["value"], validate=True)
-    except (binascii.Error, TypeError):
+    except (binascii.Error, TypeError, ValueError):
         # The key shows that the record exists. The decoder of the record rejects the
         # empty value and reports it.
         value = b""
@@ -269,13 +272,13 @@
         key=str(data["key"]),
         value=value,
         # The revision of the last change; "created_rev" is that of the creation.
-        revision=StoreRevision(int(data["rev"])),
+        revision=StoreRevision(to_integer(data["rev"])),
     )
 
 
 def _parse_change(data: Mapping[str, Any]) -> Item | Deletion:
     if data.get("tombstone"):
-        revision = StoreRevision(int(data["rev"]))
+        revision = StoreRevision(to_integer(data["rev"]))
         return Deletion(key=str(data["key"]), revision=revision)
     return _parse_item(data)
 
--- /dev/null
+++ b/galenashift/platform/tests/test_malformed.py
@@ -0,0 +1,227 @@
+"""Any bytes of other processes decode to a value or to the typed error."""
+
+import json
+import math
+from contextlib import suppress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from galenashift.platform import (
+    HeaderError,
+    RecordError,
+    StageAnswerError,
+    StoreFailure,
+    decode_answer,
+    decode_config,
+    decode_daemon,
+    decode_request,
+    decode_run,
+    decode_upstream,
+    idle_timeout_s,
+)
+from galenashift.platform._decoding import to_text
+from galenashift.platform._store import _parse_answer, _parse_change, _parse_integer
+from galenashift.platform.tests.test_records import _CONFIG, _ROUTE
+from galenashift.store import HttpAnswer
+
+_UPSTREAM = {
+    "service": "pool",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "slots": 8,
+    "cold_left_ms": 0,
+    "born": 1,
+}
+_DAEMON = {"peers": "10.0.0.1:70", "capacity": 1.0}
+#: Documents that ended every daemon of the fleet at once, as all read the same record.
+_FAILING_EXAMPLES = [
+    b"[" * 200_000,
+    b"1e999",
+    b"NaN",
+    b'"\\ud800"',
+    b"9" * 400,
+    b"9" * 5_000,
+    b"-1",
+    b"true",
+    b"null",
+    b"{}",
+]
+_NUMBER_FIELDS = ["slots", "cold_left_ms", "born"]
+
+
+def _replace(document, field, raw):
+    """Encode a document with the raw JSON text of one field."""
+    text = json.dumps(document | {field: "RAW"}).encode()
+    return text.replace(b'"RAW"', raw)
+
+
+def _decode_upstream(value):
+    return decode_upstream(key="servers/u1", value=value)
+
+
+def _decode_daemon(value):
+    return decode_daemon(key="daemons/d1", value=value)
+
+
+@pytest.mark.parametrize("raw", _FAILING_EXAMPLES)
+def test_malformed_record_raises_only_the_typed_error(raw):
+    for decode in (decode_config, _decode_upstream, _decode_daemon):
+        with pytest.raises(RecordError):
+            decode(raw)
+
+
+@pytest.mark.parametrize("field", [*_UPSTREAM, "unknown"])
+@pytest.mark.parametrize("raw", _FAILING_EXAMPLES)
+def test_malformed_field_of_an_upstream_raises_only_the_typed_error(field, raw):
+    with suppress(RecordError):
+        registration = _decode_upstream(_replace(_UPSTREAM, field, raw))
+        assert 0 <= registration.slots < math.inf
+        assert 0 <= registration.cold_left_s < math.inf
+
+
+@pytest.mark.parametrize("field", [*_ROUTE, "split", "weight"])
+@pytest.mark.parametrize("raw", _FAILING_EXAMPLES)
+def test_malformed_field_of_a_route_raises_only_the_typed_error(field, raw):
+    document = _replace(_CONFIG | {"routes": "ROUTES"}, "unused", b"0")
+    route = b"[" + _replace(_ROUTE, field, raw) + b"]"
+    with suppress(RecordError):
+        config = decode_config(document.replace(b'"ROUTES"', route))
+        for routes in config.routes_by_host.values():
+            for decoded in routes.values():
+                assert 0 < decoded.timeout_s < math.inf
+                assert 0 <= decoded.latency_goal_s < math.inf
+
+
+@pytest.mark.parametrize(
+    "after",
+    [[[0]], [[1], [0]], [[], [2], [1]], [[1]], [[], [5]], [[-1]]],
+    ids=str,
+)
+def test_stages_that_cannot_run_are_rejected(after):
+    # A request waited for its own stage until its deadline.
+    stages = [{"service": "s", "after": each} for each in after]
+    with pytest.raises(RecordError):
+        decode_config(json.dumps(_CONFIG | {"routes": [_ROUTE | {"stages": stages}]}))
+
+
+@pytest.mark.parametrize("capacity", ["1e999", "NaN", "-1", '"2"'])
+def test_capacity_that_is_no_quantity_is_rejected(capacity):
+    # An infinite capacity made one daemon the batching daemon of all services.
+    with pytest.raises(RecordError):
+        _decode_daemon(_replace(_DAEMON, "capacity", capacity.encode()))
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"galenashift-deadline-ms", b"nan"),
+        (b"galenashift-deadline-ms", b"inf"),
+        (b"galenashift-deadline-ms", b"1e999"),
+        (b"galenashift-deadline-ms", b"-1"),
+        (b"galenashift-pieces", b"1000000000"),
+        (b"galenashift-pieces", b"6000,6000"),
+        (b"galenashift-pieces", b"\xb2"),
+        (b"galenashift-pieces", b"-1"),
+        (b"galenashift-prefix-hash", b"5c1e:-1"),
+    ],
+)
+def test_header_out_of_range_is_rejected(header):
+    # A billion pieces would use up the memory of the batching daemon.
+    with pytest.raises(HeaderError):
+        decode_request([header])
+
+
+@pytest.mark.parametrize(
+    ("value", "timeout_s"),
+    [
+        (b"timeout=5", 5.0),
+        (b"timeout=\xb2", None),
+        (b"timeout=", None),
+        (b"timeout=-1", None),
+        (b"timeout=" + b"9" * 5_000, 86_400.0),
+    ],
+)
+def test_idle_timeout_is_a_duration_or_ignored(value, timeout_s):
+    # "\xb2" is a digit for `str.isdigit`; its conversion ended the batching daemon.
+    assert idle_timeout_s([(b"keep-alive", value)]) == timeout_s
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(
+                [*_ROUTE, *_UPSTREAM, *_CONFIG, *_DAEMON, "items", "handle"]
+            ),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=20,
+)
+
+
+@pytest.mark.fuzz
+@given(st.one_of(st.binary(max_size=200), _JSON.map(lambda x: json.dumps(x).encode())))
+def test_any_bytes_decode_or_raise_the_typed_error(value):
+    for decode in (decode_config, _decode_upstream, _decode_daemon):
+        with suppress(RecordError):
+            decode(value)
+    with suppress(StageAnswerError):
+        decode_run(value, count=1)
+
+
+@pytest.mark.fuzz
+@given(st.sampled_from(sorted(_CONFIG)), _JSON)
+def test_any_field_of_a_configuration_decodes_or_raises_the_typed_error(field, value):
+    with suppress(RecordError):
+        decode_config(json.dumps(_CONFIG | {field: value}).encode())
+    with suppress(RecordError):
+        route = _ROUTE | {field: value}
+        decode_config(json.dumps(_CONFIG | {"routes": [route]}).encode())
+
+
+@pytest.mark.fuzz
+@given(
+    st.sampled_from(
+        [
+            b"galenashift-deadline-ms",
+            b"galenashift-pieces",
+            b"galenashift-prefix-hash",
+            b"galenashift-instance-load",
+            b"galenashift-cold-ms",
+            b"keep-alive",
+        ]
+    ),
+    st.binary(max_size=40) | st.floats().map(lambda x: str(x).encode()),
+)
+def test_any_header_decodes_or_raises_the_typed_error(name, value):
+    headers = [(name, value)]
+    with suppress(HeaderError):
+        fields = decode_request(headers)
+        assert fields.wait_s is None or 0 <= fields.wait_s < math.inf
+    answer = decode_answer(headers)
+    assert answer.cold_left_s is None or 0 <= answer.cold_left_s < math.inf
+    timeout_s = idle_timeout_s(headers)
+    assert timeout_s is None or 0 <= timeout_s < math.inf
+
+
+@pytest.mark.fuzz
+@given(st.dictionaries(st.sampled_from(["rev", "key", "value", "tombstone"]), _JSON))
+def test_any_answer_of_the_store_decodes_or_fails(body):
+    answer = _parse_answer(HttpAnswer(status=200, body=body, headers={}))
+    assert answer == body
+    number = _parse_integer(answer, "rev")
+    assert isinstance(number, int | StoreFailure)
+    with suppress(KeyError, ValueError):
+        _parse_change(body)
+
+
+@pytest.mark.parametrize("text", ["a\nb", "\ud800", "x" * 2_000, 7, None])
+def test_text_that_no_header_can_carry_is_rejected(text):
+    with pytest.raises(ValueError):
+        to_text(text)
--- a/galenashift/store/_http.py
+++ b/galenashift/store/_http.py
@@ -15,6 +15,10 @@
 #: the server, so that a call rarely uses a connection that the server is closing.
 _IDLE_EXPIRY_S = 10.0
 
+#: Largest body of a response, in bytes. A page of a listing has about 1 MB before it
+#: is encoded, and a single value may be larger.
+MAX_ANSWER_BYTES = 16_000_000
+
 #: Time limit for closing the connections of a pool, in seconds.
 _CLOSE_TIMEOUT_S = 0.5
 
@@ -26,6 +30,10 @@
 )
 
 
+class _AnswerTooLarge(Exception):  # noqa: N818
+    """The body of a response exceeds the limit."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class HttpAnswer:
     """A complete HTTP response."""
@@ -112,17 +120,18 @@
         pool.calls += 1
         try:
             with trio.move_on_after(timeout_s):
-                response = await pool.connections.request(
+                async with pool.connections.stream(
                     method,
                     self._url + path,
                     headers=list((headers or {}).items()),
                     content=None if body is None else json.dumps(body).encode(),
                     extensions={"trace": trace},
-                )
-                return _decode_response(response)
+                ) as response:
+                    content = await _read_body(response)
+                return _decode_response(response, content)
             detail = f"{method} {path}: no answer within {timeout_s:g} s"
             self._retire(pool)
-        except (*_CALL_ERRORS, OSError) as error:
+        except (*_CALL_ERRORS, _AnswerTooLarge, OSError) as error:
             detail = f"{method} {path}: {type(error).__name__}: {error}"
         finally:
             pool.calls -= 1
@@ -149,13 +158,30 @@
         await pool.connections.aclose()
 
 
-def _decode_response(response: httpcore.Response) -> HttpAnswer:
+async def _read_body(response: httpcore.Response) -> bytes:
+    """Read the body of a response.
+
+    :raises _AnswerTooLarge: If it has more than `MAX_ANSWER_BYTES`.
+    """
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            raise _AnswerTooLarge(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
+
+
+def _decode_response(response: httpcore.Response, content: bytes) -> HttpAnswer:
     try:
-        body = json.loads(response.content or b"{}")
-    except ValueError:
+        body = json.loads(content or b"{}")
+    except (RecursionError, ValueError):
+        # A body that is not JSON has no fields, which the caller reports.
         body = {}
     return HttpAnswer(
         status=response.status,
         body=body if isinstance(body, dict) else {},
-        headers={k.decode().lower(): v.decode() for k, v in response.headers},
+        headers={
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in response.headers
+        },
     )
