Bound the answers of upstreams, and count only events as progress

Cause: a body, informational heads or an event without end filled the memory of the daemon. Each byte of a stream moved its timeout, so a stalled one never ended. A late 421 without an attempt id on a connection in use again was taken as a promise, and a late copy of a stage answer, which has no id, as the results of the next call. Change: bounds for heads, buffered bodies, skipped answers and events, after which the connection closes and the request may have run; the timeout of a stream moves at the end of an event; a connection is not used again after an answer whose id did not match; handles of earlier calls make a stage answer malformed; an error of one stage call fails only its jobs.

--- a/galenashift/gateway/_connection.py
+++ b/galenashift/gateway/_connection.py
@@ -17,8 +17,12 @@
 #: Unanswered probes after which a connection is closed.
 _KEEPALIVE_PROBES = 2
 _READ_BYTES = 65_536
+#: Size of ``HTTP/1.1 100`` with the ends of the line and of the head, in bytes.
+_STATUS_LINE_BYTES = 17
 #: Answers to earlier requests that are skipped before the connection is closed.
 MAX_UNMATCHED_ANSWERS = 2
+#: Most bytes before the body of an answer, including informational answers.
+MAX_HEAD_BYTES = 65_536
 
 
 class ConnectionFailed(Exception):  # noqa: N818
@@ -34,6 +38,17 @@
         self.reset = reset
 
 
+class AnswerTooLarge(ConnectionFailed):
+    """The peer sent more bytes than the answer may have.
+
+    :param part: Part of the answer that is too large.
+    :param max_bytes: The limit that was exceeded, in bytes.
+    """
+
+    def __init__(self, part: str, *, max_bytes: int) -> None:
+        super().__init__(f"the {part} has more than {max_bytes} bytes")
+
+
 class ConnectFailed(ConnectionFailed):
     """No connection was established, so nothing was sent."""
 
@@ -104,12 +119,16 @@
         """Read the status and the headers of the answer.
 
         :raises ConnectionFailed: If the connection fails.
+        :raises AnswerTooLarge: If more than `MAX_HEAD_BYTES` arrive before the body.
         """
+        head_bytes = 0
         while True:
             event = await self._next_event()
             match event:
                 case h11.InformationalResponse():
-                    continue
+                    head_bytes += _header_bytes(event)
+                    if head_bytes > MAX_HEAD_BYTES:
+                        raise AnswerTooLarge("head", max_bytes=MAX_HEAD_BYTES)
                 case h11.Response():
                     return AnswerHead(
                         status=event.status_code, headers=list(event.headers)
@@ -133,15 +152,19 @@
                 case _:
                     raise ConnectionFailed(f"unexpected {type(event).__name__}")
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, *, max_bytes: int) -> bytes:
         """Read the body up to its end.
 
+        :param max_bytes: Largest body that is buffered, in bytes.
         :raises ConnectionFailed: If the body is incomplete.
+        :raises AnswerTooLarge: If the body is larger.
         """
-        parts: list[bytes] = []
+        body = bytearray()
         while (part := await self.read_data()) is not None:
-            parts.append(part)
-        return b"".join(parts)
+            body += part
+            if len(body) > max_bytes:
+                raise AnswerTooLarge("body", max_bytes=max_bytes)
+        return bytes(body)
 
     async def _next_event(self) -> h11.Event:
         while True:
@@ -210,6 +233,12 @@
             self._sock.close()
 
 
+def _header_bytes(event: h11.InformationalResponse) -> int:
+    """Return the approximate size of an informational answer, in bytes."""
+    fields = sum(len(name) + len(value) + 4 for name, value in event.headers)
+    return _STATUS_LINE_BYTES + len(event.reason) + fields
+
+
 def _parser_awaiting_answer() -> h11.Connection:
     parser = h11.Connection(h11.CLIENT)
     request = h11.Request(method="GET", target="/", headers=[("host", "upstream")])
--- a/galenashift/gateway/_event_parts.py
+++ b/galenashift/gateway/_event_parts.py
@@ -1,5 +1,9 @@
 """Splits a server-sent event stream into complete events and reads their ids."""
 
+from ._connection import AnswerTooLarge
+
+#: Largest incomplete event that is buffered, in bytes.
+MAX_EVENT_BYTES = 1_000_000
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
 
@@ -16,10 +20,13 @@
         """Return the events that are complete with the given data.
 
         :param data: Next bytes of the stream.
+        :raises AnswerTooLarge: If the incomplete event exceeds `MAX_EVENT_BYTES`.
         """
         buffered = self._partial_event + data
         end = buffered.rfind(_EVENT_END)
         if end < 0:
+            if len(buffered) > MAX_EVENT_BYTES:
+                raise AnswerTooLarge("event", max_bytes=MAX_EVENT_BYTES)
             self._partial_event = buffered
             return b""
         complete_events = buffered[: end + len(_EVENT_END)]
--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from galenashift.model import AnswerFields, RegisteredUpstream
+from galenashift.model import AnswerFields, RegisteredUpstream, UpstreamId
 from galenashift.platform import decode_answer, idle_timeout_s
 
 from ._caller import CallerGone
@@ -19,6 +19,9 @@
 )
 from ._pool import ConnectionPool
 
+#: Largest answer to an earlier request that is read and skipped, in bytes.
+_MAX_SKIPPED_BYTES = 65_536
+
 _OK = 200
 _MISDIRECTED = 421
 
@@ -35,6 +38,8 @@
     body: bytes
     #: Whether the request may be sent again after a connection failure.
     repeatable: bool
+    #: Largest body of an answer that is not a stream, in bytes.
+    max_answer_bytes: int
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -93,7 +98,7 @@
 
 Outcome = NotSent | Refused | Answered | StreamEnded | Broken | Silent
 
-#: Receives the head and the next data of a stream; returns whether data was written.
+#: Receives the head and the next data of a stream; returns whether an event ended.
 StreamSink = Callable[[AnswerHead, bytes], Awaitable[bool]]
 
 
@@ -116,6 +121,10 @@
         self._pool = pool
         self._clock = clock
 
+    def close_idle(self, upstream_id: UpstreamId) -> None:
+        """Close the idle connections to an upstream whose answers are out of order."""
+        self._pool.drop(upstream_id)
+
     async def exchange(
         self,
         *,
@@ -191,13 +200,29 @@
                 outcome = await reader.read()
             except CallerGone as error:
                 gone = error
-            reusable = reader.fully_read and sent.is_set()
+            reusable = reader.reusable and sent.is_set()
             nursery.cancel_scope.cancel()
         if gone is not None:
             raise gone
         return outcome, reusable
 
 
+def next_event_deadline_s(
+    *, deadline_s: float, event_ended: bool, event_gap_s: float, now_s: float
+) -> float:
+    """Return when a stream times out, after some of its data has been handled.
+
+    Only a complete event counts as progress, so a stream that sends single bytes of an
+    event times out like one that sends nothing.
+
+    :param deadline_s: Current deadline, in seconds.
+    :param event_ended: Whether the data completed an event.
+    :param event_gap_s: Longest time between the ends of two events, in seconds.
+    :param now_s: Time at which the data was forwarded, on the same clock.
+    """
+    return now_s + event_gap_s if event_ended else deadline_s
+
+
 class _Reader:
     """Reads the answer to one request.
 
@@ -219,9 +244,17 @@
         self._started = False
         #: Whether the answer was read up to its end.
         self.fully_read = False
+        #: Whether the attempt id of each answer matched. If not, a later copy of one of
+        #: them could be taken for the answer to the next request.
+        self._all_matched = True
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may be used for another request."""
+        return self.fully_read and self._all_matched
 
     async def read(self) -> Outcome:
-        """Read the answer; `fully_read` tells whether the connection is reusable."""
+        """Read the answer; `reusable` tells whether the connection is reusable."""
         try:
             with trio.move_on_after(self._timeouts.first_byte_s) as scope:
                 return await self._read(scope)
@@ -252,14 +285,29 @@
             self._connection.idle_timeout_s = idle_timeout_s(head.headers)
             if fields.attempt_id == self._request.attempt_id:
                 return head, fields
+            self._all_matched = False
             if fields.attempt_id is None and head.status == _MISDIRECTED:
+                self._check_unidentified_refusal()
                 return head, fields
-            await self._connection.read_body()
+            await self._connection.read_body(max_bytes=_MAX_SKIPPED_BYTES)
             self._connection.skip_answer()
         raise ConnectionFailed("received only answers to other requests")
 
+    def _check_unidentified_refusal(self) -> None:
+        """Check whether a 421 without an attempt id can be the answer.
+
+        On a connection in use again, it may be a late copy of an earlier answer. It
+        then does not prove that the request was not executed.
+
+        :raises ConnectionFailed: If the request must not be executed twice.
+        """
+        if self._connection.reused and not self._request.repeatable:
+            raise ConnectionFailed("421 without an attempt id on a reused connection")
+
     async def _read_rest(self) -> bytes:
-        body = await self._connection.read_body()
+        body = await self._connection.read_body(
+            max_bytes=self._request.max_answer_bytes
+        )
         self.fully_read = True
         return body
 
@@ -271,11 +319,14 @@
             # whose write was cancelled halfway could not resume at another upstream.
             if scope.cancel_called:
                 await trio.lowlevel.checkpoint()
-            deadline, scope.deadline = scope.deadline, math.inf
-            wrote = await sink(head, data)
-            self._started = self._started or wrote
-            scope.deadline = deadline
-            if self._started:
-                scope.deadline = trio.current_time() + self._timeouts.event_gap_s
+            deadline_s, scope.deadline = scope.deadline, math.inf
+            event_ended = await sink(head, data)
+            self._started = self._started or event_ended
+            scope.deadline = next_event_deadline_s(
+                deadline_s=deadline_s,
+                event_ended=event_ended,
+                event_gap_s=self._timeouts.event_gap_s,
+                now_s=trio.current_time(),
+            )
         self.fully_read = True
         return StreamEnded(complete=True, started=self._started, detail="")
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -56,6 +56,10 @@
 #: Time between two checks for an eligible upstream, in seconds.
 _POLL_INTERVAL_S = 0.02
 
+#: Largest answer that is not a stream, in bytes. It is buffered until it is complete,
+#: so the limit must be small compared to the memory of an instance.
+MAX_ANSWER_BYTES = 8_000_000
+
 _SERVER_ERROR = 500
 
 
@@ -293,6 +297,7 @@
             headers=headers,
             body=job.request.body,
             repeatable=job.route.repeatable,
+            max_answer_bytes=MAX_ANSWER_BYTES,
         )
         health = self._router.health
         record = health.record_of(upstream.upstream_id)
--- /dev/null
+++ b/galenashift/gateway/_stage_call.py
@@ -0,0 +1,74 @@
+"""Calls that execute a batch of pieces at a stage upstream."""
+
+from collections.abc import Callable
+
+from galenashift.model import Handle
+from galenashift.platform import (
+    RUN_PATH,
+    PieceProblem,
+    StageAnswerError,
+    encode_run,
+)
+
+from ._exchange import Exchanger, ExchangeTimeouts, Outcome
+from ._recent_handles import RecentHandles
+from ._stage_job import Batch, PieceRef
+from ._stage_upstream import stage_request
+from ._view import KnownUpstream
+
+#: Timeout of a call as a multiple of its expected duration.
+_CALL_TIMEOUT_FACTOR = 3.0
+#: Allowance for the network round trip in the timeout of a call, in seconds.
+_ROUND_TRIP_S = 0.3
+
+
+class StageCaller:
+    """Sends batches to stage upstreams and decodes their answers.
+
+    :param clock: Boot-time clock.
+    """
+
+    def __init__(self, *, exchanger: Exchanger, clock: Callable[[], float]) -> None:
+        self._exchanger = exchanger
+        self._clock = clock
+        self._recent_handles = RecentHandles()
+
+    async def call(
+        self, upstream: KnownUpstream, batch: Batch, *, expected_s: float
+    ) -> Outcome:
+        """Execute the pieces of a batch.
+
+        :param expected_s: Expected duration of the call, in seconds.
+        """
+        now_s = self._clock()
+        body = encode_run(
+            [ref.piece for ref in batch.pieces],
+            remaining_s=[ref.job.deadline_s - now_s for ref in batch.pieces],
+        )
+        request = stage_request(upstream, path=RUN_PATH, body=body)
+        wait_s = _CALL_TIMEOUT_FACTOR * expected_s + _ROUND_TRIP_S
+        return await self._exchanger.exchange(
+            upstream=upstream.registration,
+            request=request,
+            timeouts=ExchangeTimeouts(first_byte_s=wait_s, event_gap_s=wait_s),
+        )
+
+    def decode_answer(
+        self, batch: Batch, body: bytes
+    ) -> tuple[Handle | PieceProblem, ...]:
+        """Decode the results of a batch, in the order of its pieces.
+
+        :raises StageAnswerError: If the answer is malformed, or is a copy of the answer
+            to an earlier call.
+        """
+        pieces = [ref.piece for ref in batch.pieces]
+        try:
+            return self._recent_handles.decode_answer(body, pieces=pieces)
+        except StageAnswerError:
+            # The answer to this call may still arrive on its connection.
+            self._exchanger.close_idle(batch.upstream_id)
+            raise
+
+    def remember(self, handle: Handle, ref: PieceRef) -> None:
+        """Remember the handle of a result, to recognise copies of its answer."""
+        self._recent_handles.add(handle, ref.piece)
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -12,11 +12,8 @@
     UpstreamId,
 )
 from galenashift.platform import (
-    RUN_PATH,
     PieceProblem,
     StageAnswerError,
-    decode_run,
-    encode_run,
 )
 from galenashift.telemetry import EventLog, Metrics
 
@@ -24,13 +21,13 @@
     Answered,
     Broken,
     Exchanger,
-    ExchangeTimeouts,
     NotSent,
     Outcome,
     Refused,
     Silent,
     StreamEnded,
 )
+from ._stage_call import StageCaller
 from ._stage_job import Batch, JobId, PieceRef, StageJob, Worker
 from ._stage_outcome import StageFailed, StageOutcome, StageProblem, StageSucceeded
 from ._stage_queue import MAX_PIECE_ATTEMPTS, StageQueue
@@ -39,15 +36,10 @@
     INITIAL_MEMORY_BACKOFF_S,
     StageUpstream,
     StageUpstreams,
-    stage_request,
 )
 from ._times import StageWait
 from ._view import KnownUpstream, PlatformView
 
-#: Timeout of a call as a multiple of its expected duration.
-_CALL_TIMEOUT_FACTOR = 3.0
-#: Allowance for the network round trip in the timeout of a call, in seconds.
-_ROUND_TRIP_S = 0.3
 #: Time without calls to an upstream after a failed call, in seconds.
 _FAILURE_BACKOFF_S = 0.6
 #: Time without calls to an upstream after it refused one, in seconds.
@@ -79,7 +71,6 @@
         clock: Callable[[], float],
     ) -> None:
         self._view = view
-        self._exchanger = exchanger
         self._events = events
         self._metrics = metrics
         self._clock = clock
@@ -94,6 +85,7 @@
             on_freed=self._dispatch,
             clock=clock,
         )
+        self._caller = StageCaller(exchanger=exchanger, clock=clock)
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -196,7 +188,24 @@
             state.busy = True
             state.pending_bytes = sum(ref.job.result_bytes for ref in batch.pieces)
             state.free_at_s = now_s + expected_s
-            nursery.start_soon(self._call, service, upstream, batch, expected_s)
+            nursery.start_soon(self._run_call, service, upstream, batch, expected_s)
+
+    async def _run_call(
+        self,
+        service: ServiceName,
+        upstream: KnownUpstream,
+        batch: Batch,
+        expected_s: float,
+    ) -> None:
+        """Make a call; an unexpected error fails only the jobs of the call."""
+        try:
+            await self._call(service, upstream, batch, expected_s)
+        except Exception as error:
+            self._events.error(
+                "stage-call-crashed", upstream=batch.upstream_id, detail=repr(error)
+            )
+            for ref in batch.pieces:
+                self._fail(ref.job, StageProblem.FAILED)
 
     async def _call(
         self,
@@ -208,7 +217,7 @@
         state = self._upstreams.state(batch.upstream_id)
         started_s = self._clock()
         try:
-            outcome = await self._exchange(upstream, batch, expected_s)
+            outcome = await self._caller.call(upstream, batch, expected_s=expected_s)
         finally:
             state.busy = False
             state.pending_bytes = 0
@@ -221,22 +230,6 @@
         self._log_call(service, batch, outcome, made=made, elapsed_s=elapsed_s)
         self._dispatch(service)
 
-    async def _exchange(
-        self, upstream: KnownUpstream, batch: Batch, expected_s: float
-    ) -> Outcome:
-        now_s = self._clock()
-        body = encode_run(
-            [ref.piece for ref in batch.pieces],
-            remaining_s=[ref.job.deadline_s - now_s for ref in batch.pieces],
-        )
-        request = stage_request(upstream, path=RUN_PATH, body=body)
-        wait_s = _CALL_TIMEOUT_FACTOR * expected_s + _ROUND_TRIP_S
-        return await self._exchanger.exchange(
-            upstream=upstream.registration,
-            request=request,
-            timeouts=ExchangeTimeouts(first_byte_s=wait_s, event_gap_s=wait_s),
-        )
-
     def _log_call(
         self,
         service: ServiceName,
@@ -293,7 +286,7 @@
         self, batch: Batch, body: bytes, state: StageUpstream, now_s: float
     ) -> int:
         try:
-            results = decode_run(body, count=len(batch.pieces))
+            results = self._caller.decode_answer(batch, body)
         except StageAnswerError as error:
             self._events.warning(
                 "stage-answer-unreadable", upstream=batch.upstream_id, detail=error
@@ -326,6 +319,7 @@
         self, ref: PieceRef, handle: Handle, upstream_id: UpstreamId, now_s: float
     ) -> None:
         self._upstreams.state(upstream_id).memory_backoff_s = INITIAL_MEMORY_BACKOFF_S
+        self._caller.remember(handle, ref)
         expires_s = now_s + self._result_lifetime_s(upstream_id)
         size = ref.job.result_bytes
         self._results.add(handle, upstream_id, size=size, expires_s=expires_s)
--- a/galenashift/gateway/_stage_upstream.py
+++ b/galenashift/gateway/_stage_upstream.py
@@ -12,6 +12,8 @@
 #: First period in which an upstream that reported full memory gets only pieces with
 #: small results, in seconds.
 INITIAL_MEMORY_BACKOFF_S = 0.08
+#: Largest answer to a call of a stage upstream, in bytes.
+MAX_STAGE_ANSWER_BYTES = 1_000_000
 
 
 @dataclass(kw_only=True)
@@ -80,4 +82,5 @@
         ],
         body=body,
         repeatable=True,
+        max_answer_bytes=MAX_STAGE_ANSWER_BYTES,
     )
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -36,6 +36,8 @@
     b"HTTP/1.1 200 OK\r\nGalenashift-Attempt-Id: a1\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
 )
+#: Largest answer to a request of these tests, in bytes.
+MAX_ANSWER_BYTES = 100_000
 TIMEOUTS = ExchangeTimeouts(first_byte_s=0.5, event_gap_s=0.3)
 
 
@@ -48,14 +50,16 @@
         headers=headers,
         body=body,
         repeatable=repeatable,
+        max_answer_bytes=MAX_ANSWER_BYTES,
     )
 
 
 class Upstream:
     """A server that runs one script per connection.
 
-    The steps are ``read``, ``close``, ``reset``, ``hang``, bytes to write, or a tuple
-    of bytes to write and the time for which the process is then blocked, in seconds.
+    The steps are ``read``, ``close``, ``reset``, ``hang``, bytes to write, a pause in
+    seconds, or a tuple of bytes to write and the time for which the process is then
+    blocked, in seconds.
     """
 
     def __init__(self, *scripts):
@@ -75,6 +79,8 @@
                 # Block the whole process right after the bytes have arrived.
                 os.write(stream.socket.fileno(), step[0])
                 time.sleep(step[1])
+            elif isinstance(step, float):
+                await trio.sleep(step)
             elif step == "hang":
                 await trio.sleep_forever()
             elif step == "reset":
--- a/galenashift/gateway/tests/test_stage_scheduler.py
+++ b/galenashift/gateway/tests/test_stage_scheduler.py
@@ -44,6 +44,11 @@
         self.call_duration_s = 0.2
         self.freed = []
         self.made = 0
+        #: Upstreams whose idle connections were closed.
+        self.closed = []
+
+    def close_idle(self, upstream_id):
+        self.closed.append(upstream_id)
 
     async def exchange(self, *, upstream, request, timeouts, sink=None, may_send=None):
         body = json.loads(request.body)
