Serve queued connections before a listener closes, and restart failed tasks

Cause: closing a listener resets the connections that the kernel has queued, 14 in each of three shutdowns with 16 callers, although their requests were sent. An unexpected exception of a background task ended the process. Change: both faces accept with a listener that empties its queue before it closes, and the shutdown leaves a new connection the time for its first request. A supervisor logs and counts the failure of a task and starts it again after a pause; the daemon is not ready while one keeps failing.

--- a/galenashift/daemon/_listeners.py
+++ b/galenashift/daemon/_listeners.py
@@ -3,7 +3,6 @@
 import socket
 from collections.abc import Awaitable, Callable
 from contextvars import ContextVar
-from functools import partial
 from typing import Any
 
 import h11
@@ -16,6 +15,7 @@
 from hypercorn.utils import wrap_app
 
 from galenashift.config import Address
+from galenashift.listeners import DrainingListener
 from galenashift.serving import DIRECT_BODY
 
 from ._caller_stream import CallerStream, DirectChunkWriter
@@ -201,21 +201,16 @@
             finally:
                 self._connections.discard(connection)
 
-        listener = trio.SocketListener(trio.socket.from_stdlib_socket(self._listener))
+        listener = DrainingListener(listener=self._listener, handler=serve_connection)
         async with trio.open_nursery() as idle_check_nursery:
             idle_check_nursery.start_soon(self._close_idle_connections, context)
             async with trio.open_nursery() as connection_nursery:
                 async with trio.open_nursery() as accept_nursery:
-                    accept_nursery.start_soon(
-                        partial(
-                            trio.serve_listeners,
-                            serve_connection,
-                            [listener],
-                            handler_nursery=connection_nursery,
-                        )
-                    )
+                    accept_nursery.start_soon(listener.accept, connection_nursery)
                     await self._close.wait()
-                    accept_nursery.cancel_scope.cancel()
+                    listener.close()
+                # The tasks of the connections accepted last register themselves.
+                await trio.lowlevel.checkpoint()
                 connection_nursery.cancel_scope.deadline = (
                     trio.current_time() + drain_timeout_s
                 )
--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -2,14 +2,16 @@
 
 import os
 import signal
+import socket
 import sys
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
 from random import Random
 
 import trio
 
+from galenashift.listeners import DrainingListener, StreamHandler
 from galenashift.model import CallerLimits, UpstreamId, boot_time_s
 from galenashift.platform import (
     SETTINGS_PATH_VARIABLE,
@@ -38,14 +40,15 @@
 from ._stage_scheduler import StageScheduler
 from ._status_pages import serve_pages
 from ._store_watch import Registration, StoreWatch
+from ._supervisor import Supervisor, Task
 from ._times import ServiceLatencies
 from ._view import PlatformView
 
 #: Port of the metrics endpoint.
 METRICS_PORT = 9464
-_METRICS_PATH = "/metrics"
 #: Length of the queue of connections that are not accepted yet.
 _LISTEN_BACKLOG = 512
+_METRICS_PATH = "/metrics"
 #: Time between two checks of idle connections, in seconds.
 _IDLE_CHECK_INTERVAL_S = 1.0
 
@@ -56,8 +59,6 @@
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
 
-StreamHandler = Callable[[trio.SocketStream], Awaitable[None]]
-
 
 class GatewayDaemon:
     """A gateway daemon with its listeners, connections and background tasks.
@@ -79,6 +80,10 @@
         self._pool = ConnectionPool()
         self._shutdown = Shutdown(grace_s=settings.bounds.grace_s)
         self._connections: set[CallerConnection] = set()
+        self._caller_listener: DrainingListener | None = None
+        self._supervisor = Supervisor(
+            events=self._events, metrics=self._metrics, clock=clock
+        )
         store = PlatformStore(address=settings.store)
         self._store_watch = StoreWatch(
             store=store,
@@ -112,6 +117,7 @@
             scheduler=self._scheduler,
             events=self._events,
             latencies=latencies,
+            isolate=self._supervisor.isolate,
             clock=clock,
         )
         self._stage_server = StageServer(scheduler=self._scheduler, clock=clock)
@@ -160,29 +166,44 @@
             store=f"{settings.store.host}:{settings.store.port}",
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._handle_signals)
-            nursery.start_soon(self._store_watch.run)
-            nursery.start_soon(self._registration.run)
-            nursery.start_soon(self._scheduler.run)
-            nursery.start_soon(self._stage_client.run)
-            nursery.start_soon(self._crashes.run)
-            nursery.start_soon(self._close_idle_connections)
+            for name, task in self._background_tasks().items():
+                nursery.start_soon(self._supervisor.run, name, task)
             await self._listen(nursery, settings.ready, self._serve_ready)
             await self._listen(nursery, settings.peers, self._stage_server.serve)
             metrics = Address(host=settings.peers.host, port=METRICS_PORT)
             await self._listen(nursery, metrics, self._serve_metrics)
-            await self._listen(nursery, settings.callers, self._serve_caller)
+            self._caller_listener = await self._open_caller_listener()
+            nursery.start_soon(self._caller_listener.accept, nursery)
             await self._shutdown.wait_until_done(
                 requests=lambda: self._open_requests,
                 refuse_unsent=self._relay.refuse_unsent,
+                close_listener=self._close_caller_listener,
                 clock=self._clock,
             )
             nursery.cancel_scope.cancel()
         self._events.info("stopped", dropped_lines=self._output.dropped)
 
+    def _background_tasks(self) -> Mapping[str, Task]:
+        return {
+            "signals": self._handle_signals,
+            "store-watch": self._store_watch.run,
+            "registration": self._registration.run,
+            "stage-scheduler": self._scheduler.run,
+            "stage-links": self._stage_client.run,
+            "crash-guard": self._crashes.run,
+            "idle-connections": self._close_idle_connections,
+        }
+
+    def _close_caller_listener(self) -> int:
+        assert self._caller_listener is not None
+        accepted = self._caller_listener.close()
+        self._events.info("caller-listener-closed", queued=accepted)
+        return accepted
+
     @property
     def _open_requests(self) -> int:
-        return sum(1 for each in self._connections if not each.idle)
+        now_s = self._clock()
+        return sum(1 for each in self._connections if not each.is_idle(now_s=now_s))
 
     async def _listen(
         self, nursery: trio.Nursery, address: Address, handler: StreamHandler
@@ -194,6 +215,16 @@
             partial(trio.serve_listeners, self._isolate_errors(handler), listeners)
         )
 
+    async def _open_caller_listener(self) -> DrainingListener:
+        address = self._settings.callers
+        (listener,) = await trio.open_tcp_listeners(
+            address.port, host=address.host, backlog=_LISTEN_BACKLOG
+        )
+        return DrainingListener(
+            listener=_detach(listener.socket),
+            handler=self._isolate_errors(self._serve_caller),
+        )
+
     def _isolate_errors(self, handler: StreamHandler) -> StreamHandler:
         """Wrap a handler so that an exception ends only its own connection."""
 
@@ -228,7 +259,11 @@
         await serve_pages(stream, page=self._ready_page)
 
     def _ready_page(self, _path: str) -> tuple[int, bytes]:
-        ready = self._view.config is not None and not self._shutdown.draining
+        ready = (
+            self._view.config is not None
+            and not self._shutdown.draining
+            and self._supervisor.healthy
+        )
         return (_OK, b"ready\n") if ready else (_UNAVAILABLE, b"not ready\n")
 
     async def _serve_metrics(self, stream: trio.SocketStream) -> None:
@@ -276,7 +311,7 @@
             self._pool.close_expired(now_s=self._clock())
             if self._shutdown.should_close_idle(now_s=self._clock()):
                 for connection in list(self._connections):
-                    connection.close_if_idle()
+                    connection.close_if_idle(now_s=self._clock())
 
     def _on_view_change(self, name: str, fields: Mapping[str, object]) -> None:
         """Log a change of the view and update the state that depends on it."""
@@ -296,6 +331,13 @@
         self._pool.drop(upstream_id)
 
 
+def _detach(listener: trio.socket.SocketType) -> socket.socket:
+    """Return the standard socket of a listener of trio."""
+    detached = socket.socket(fileno=listener.detach())
+    detached.setblocking(False)
+    return detached
+
+
 def _peer_capacity(settings: PlatformSettings) -> float:
     """Return this instance's capacity for work of its peers, in cores."""
     return min(settings.cores, settings.link_mbps / _LINK_MBPS_PER_CORE)
--- a/galenashift/gateway/_caller.py
+++ b/galenashift/gateway/_caller.py
@@ -17,6 +17,10 @@
 #: Most bytes of pipelined requests that are buffered while one is being answered.
 _MAX_PIPELINED_BYTES = 65_536
 
+#: Time within which a new connection is expected to send its first request, in
+#: seconds. Until then, a shutdown does not close it.
+FIRST_REQUEST_WAIT_S = 1.0
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -160,6 +164,9 @@
         self._draining = draining
         self._clock = clock
         self._caller_gone = False
+        #: Number of requests that were answered.
+        self._served = 0
+        self._accepted_at_s = clock()
         self._idle_scope: trio.CancelScope | None = None
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
@@ -177,14 +184,23 @@
         finally:
             await trio.aclose_forcefully(self._stream)
 
-    @property
-    def idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return self._idle_scope is not None
+    def is_idle(self, *, now_s: float) -> bool:
+        """Tell whether no request is expected, being read or answered.
+
+        A new connection is not idle: its caller has connected to send a request.
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or answered."""
-        if self._idle_scope is not None:
+        :param now_s: Boot-time clock, in seconds.
+        """
+        if self._idle_scope is None or self._stream.socket.is_readable():
+            return False
+        return self._served > 0 or now_s - self._accepted_at_s >= FIRST_REQUEST_WAIT_S
+
+    def close_if_idle(self, *, now_s: float) -> None:
+        """Close the connection if it is idle.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        if self._idle_scope is not None and self.is_idle(now_s=now_s):
             self._idle_scope.cancel()
 
     async def _serve_one(self) -> bool:
@@ -206,6 +222,7 @@
         if self._parser.their_state is not h11.DONE:
             return False
         self._parser.start_next_cycle()
+        self._served += 1
         return True
 
     async def _handle(self, request: CallerRequest, responder: Responder) -> None:
--- a/galenashift/gateway/_drain.py
+++ b/galenashift/gateway/_drain.py
@@ -12,6 +12,8 @@
 _KILL_MARGIN_S = 0.4
 #: Time before the exit at which requests that were not sent are refused, in seconds.
 _REFUSAL_LEAD_S = 0.6
+#: Time before the exit at which the listener closes at the latest, in seconds.
+_CLOSE_LEAD_S = 1.2
 _POLL_INTERVAL_S = 0.05
 
 
@@ -54,6 +56,7 @@
         *,
         requests: Callable[[], int],
         refuse_unsent: Callable[[], None],
+        close_listener: Callable[[], int],
         clock: Callable[[], float],
     ) -> None:
         """Wait for SIGTERM and then for the end of the last request.
@@ -61,13 +64,20 @@
         :param requests: Returns the number of requests being read or answered.
         :param refuse_unsent: Refuses the requests that were not sent yet; called
             shortly before the process exits.
+        :param close_listener: Stops accepting connections; called once, early enough
+            that requests on the connections it still accepts can be answered.
         """
         await self._started.wait()
         assert self._started_at_s is not None
         end_at_s = self._started_at_s + self._grace_s - _KILL_MARGIN_S
+        listening = True
         while clock() < end_at_s:
-            if self.should_close_idle(now_s=clock()) and requests() == 0:
+            quiet = self.should_close_idle(now_s=clock()) and requests() == 0
+            if quiet and not listening:
                 return
+            if listening and (quiet or clock() >= end_at_s - _CLOSE_LEAD_S):
+                listening = False
+                close_listener()
             if clock() >= end_at_s - _REFUSAL_LEAD_S:
                 refuse_unsent()
             await trio.sleep(_POLL_INTERVAL_S)
--- a/galenashift/gateway/_stage_client.py
+++ b/galenashift/gateway/_stage_client.py
@@ -1,6 +1,6 @@
 """Routes stage jobs to the batching daemon of their service."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 
@@ -23,6 +23,10 @@
 _MAX_PEER_ATTEMPTS = 2
 
 
+#: Runs a named task so that an exception does not reach the other tasks.
+Isolate = Callable[[str, Callable[[], Awaitable[None]]], Awaitable[None]]
+
+
 class StageClient:
     """Sends each job to the daemon that ranks first for its service.
 
@@ -30,6 +34,7 @@
     effect is that calls contain fewer pieces.
 
     :param daemon_id: This daemon.
+    :param isolate: Runs each link.
     :param clock: Boot-time clock.
     """
 
@@ -41,8 +46,10 @@
         scheduler: StageScheduler,
         events: EventLog,
         latencies: ServiceLatencies,
+        isolate: Isolate,
         clock: Callable[[], float],
     ) -> None:
+        self._isolate = isolate
         self._latencies = latencies
         self._daemon_id = daemon_id
         self._view = view
@@ -111,7 +118,7 @@
             )
             self._links_by_id[peer] = link
             assert self._nursery is not None
-            self._nursery.start_soon(link.run)
+            self._nursery.start_soon(self._isolate, "stage-link", link.run)
         return link
 
     def _mark_suspect(self, peer: DaemonId) -> None:
--- a/galenashift/gateway/tests/test_caller.py
+++ b/galenashift/gateway/tests/test_caller.py
@@ -195,7 +195,7 @@
     connections = []
 
     async def respond(request, responder):
-        connections[0].close_if_idle()
+        connections[0].close_if_idle(now_s=trio.current_time())
         await trio.sleep(0.1)
         await responder.answer(status=200, headers=[], body=b"whole")
 
@@ -203,7 +203,7 @@
         await stream.send_all(_REQUEST)
         data = await read_all(stream, until=b"whole")
         await trio.sleep(0.05)
-        connections[0].close_if_idle()
+        connections[0].close_if_idle(now_s=trio.current_time())
         with trio.fail_after(0.2):
             assert await stream.receive_some(1) == b""
         return data
--- /dev/null
+++ b/galenashift/listeners/_draining.py
@@ -0,0 +1,84 @@
+"""Listener that serves the connections queued by the kernel before it closes."""
+
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+
+import trio
+
+StreamHandler = Callable[[trio.SocketStream], Awaitable[None]]
+
+#: Length of the kernel's queue while the listener closes. The kernel then ignores
+#: further connection attempts, which callers repeat elsewhere.
+_CLOSING_BACKLOG = 0
+#: Pause after a failed accept, for example without free descriptors, in seconds.
+_ACCEPT_PAUSE_S = 0.05
+#: Errors of connections that ended before they were accepted.
+_ENDED_CONNECTION_ERRORS = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EINTR})
+
+
+class DrainingListener:
+    """Accepts connections and starts a task for each.
+
+    Closing a listening socket resets the connections in its queue, although their
+    requests may have been sent. This listener accepts them first.
+
+    :param listener: Bound, listening, non-blocking socket; closed by `close`.
+    :param handler: Serves one connection and closes it.
+    """
+
+    def __init__(self, *, listener: socket.socket, handler: StreamHandler) -> None:
+        self._socket = listener
+        self._handler = handler
+        self._scope = trio.CancelScope()
+        self._nursery: trio.Nursery | None = None
+
+    async def accept(self, nursery: trio.Nursery) -> None:
+        """Accept connections until `close` is called.
+
+        :param nursery: Runs the handlers.
+        """
+        self._nursery = nursery
+        try:
+            with self._scope:
+                while True:
+                    await trio.lowlevel.wait_readable(self._socket)
+                    if not self._accept_queued():
+                        await trio.sleep(_ACCEPT_PAUSE_S)
+        finally:
+            self._socket.close()
+
+    def close(self) -> int:
+        """Accept the connections in the queue, then close the listener.
+
+        :returns: Number of connections that were in the queue.
+        """
+        self._scope.cancel()
+        if self._socket.fileno() < 0:
+            return 0
+        self._socket.listen(_CLOSING_BACKLOG)
+        total = 0
+        while accepted := self._accept_queued():
+            total += accepted
+        trio.lowlevel.notify_closing(self._socket)
+        self._socket.close()
+        return total
+
+    def _accept_queued(self) -> int:
+        """Start a handler for each connection in the queue, and return their number."""
+        if self._nursery is None:
+            return 0
+        accepted = 0
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError as error:
+                if error.errno in _ENDED_CONNECTION_ERRORS:
+                    continue
+                # The queue is empty, or no descriptor is free. In the second case the
+                # connection stays in the queue.
+                return accepted
+            accepted += 1
+            connection.setblocking(False)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(connection))
+            self._nursery.start_soon(self._handler, stream)
--- /dev/null
+++ b/galenashift/listeners/tests/test_draining.py
@@ -0,0 +1,108 @@
+"""A listener that closes serves the connections in the kernel's queue first."""
+
+import socket
+from functools import partial
+
+import trio
+
+from galenashift.listeners import DrainingListener
+
+_CALLERS = 20
+
+
+def _new_listener():
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(64)
+    listener.setblocking(False)
+    return listener
+
+
+async def _answer(stream):
+    request = await stream.receive_some(100)
+    await stream.send_all(b"answer to " + request)
+    await stream.aclose()
+
+
+def _send_request(port, number):
+    caller = socket.create_connection(("127.0.0.1", port), timeout=5)
+    caller.sendall(b"%d" % number)
+    return caller
+
+
+def test_connections_in_the_queue_are_answered():
+    # During a planned stop, the requests of connections that the process had not
+    # accepted yet were reset without an answer.
+    listener = _new_listener()
+    port = listener.getsockname()[1]
+    draining = DrainingListener(listener=listener, handler=_answer)
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(draining.accept, nursery)
+            await trio.testing.wait_all_tasks_blocked()
+            # The event loop does not run here, so the kernel queues the connections.
+            callers = [_send_request(port, number) for number in range(_CALLERS)]
+            assert draining.close() == _CALLERS
+        return callers
+
+    for number, caller in enumerate(trio.run(run)):
+        with caller:
+            assert caller.recv(100) == b"answer to %d" % number
+
+
+def test_closed_listener_refuses_connections():
+    # Callers must connect to another daemon at once instead of waiting for this one.
+    listener = _new_listener()
+    port = listener.getsockname()[1]
+    draining = DrainingListener(listener=listener, handler=_answer)
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(draining.accept, nursery)
+            await trio.testing.wait_all_tasks_blocked()
+            assert draining.close() == 0
+            assert draining.close() == 0
+
+    trio.run(run)
+    with socket.socket() as caller:
+        assert caller.connect_ex(("127.0.0.1", port)) != 0
+
+
+def test_callers_that_connect_all_the_time_are_answered_or_refused():
+    # Sixteen such callers had 14 connections reset in each shutdown.
+    listener = _new_listener()
+    port = listener.getsockname()[1]
+    draining = DrainingListener(listener=listener, handler=_answer)
+    reset = []
+
+    def connect_until_refused():
+        number = 0
+        while True:
+            try:
+                caller = _send_request(port, number)
+            except ConnectionRefusedError:
+                return
+            except OSError as error:
+                reset.append(error)
+                return
+            with caller:
+                try:
+                    assert caller.recv(100) == b"answer to %d" % number
+                except OSError as error:
+                    reset.append(error)
+                    return
+            number += 1
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(draining.accept, nursery)
+            for _ in range(16):
+                nursery.start_soon(
+                    partial(trio.to_thread.run_sync, connect_until_refused)
+                )
+            await trio.sleep(0.3)
+            draining.close()
+
+    trio.run(run)
+    assert reset == []
