Read changes earlier when large ones take long to arrive

Cause: after changes the watch pauses for the time within which they must be applied, less 1.3 s. Ruled out: a shorter pause for all; each read of each daemon has a price. Change: the pause leaves the largest recent time to receive and apply changes; only the last configuration of a burst is decoded. Figures: the new test fails with the fixed pause.

--- a/galenashift/gateway/_store_watch.py
+++ b/galenashift/gateway/_store_watch.py
@@ -6,6 +6,7 @@
 
 from galenashift.model import DaemonId
 from galenashift.platform import (
+    CONFIG_KEY,
     ChangeSet,
     LeaseId,
     PeerAddress,
@@ -32,6 +33,8 @@
 _BATCH_MARGIN_S = 1.3
 #: Shortest pause after changes, in seconds.
 _MIN_BATCH_PAUSE_S = 0.2
+#: Ratio by which the largest recent read duration decays with each read.
+_READ_DECAY = 0.9
 #: Pause after a failed call, in seconds.
 _RETRY_PAUSE_S = 0.3
 #: Lifetime of this daemon's registration unless it is renewed, in seconds.
@@ -40,6 +43,18 @@
 _RENEWAL_INTERVAL_S = 0.8
 
 
+def batch_pause_s(*, apply_within_s: float, read_s: float) -> float:
+    """Return the pause after changes, before the next ones are read.
+
+    A large configuration takes seconds to arrive on a slow link, and to be applied on
+    a slow instance. The pause leaves that time.
+
+    :param apply_within_s: Time within which a change must be applied, in seconds.
+    :param read_s: Time to receive and apply changes, in seconds.
+    """
+    return max(_MIN_BATCH_PAUSE_S, apply_within_s - _BATCH_MARGIN_S - read_s)
+
+
 class StoreWatch:
     """Updates the view with the records of the store.
 
@@ -57,7 +72,9 @@
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
-        self._batch_pause_s = max(_MIN_BATCH_PAUSE_S, apply_within_s - _BATCH_MARGIN_S)
+        self._apply_within_s = apply_within_s
+        #: Largest recent time to receive and apply changes, in seconds.
+        self._read_s = 0.0
         self._store = store
         self._view = view
         self._events = events
@@ -103,11 +120,24 @@
                     await trio.sleep(_RETRY_PAUSE_S)
                 case ChangeSet():
                     self._record_success()
-                    for change in changes.changes:
-                        self._view.apply(change, now_s=self._clock())
+                    self._apply(changes)
                     revision = changes.revision
                     if changes.changes:
-                        await trio.sleep(self._batch_pause_s)
+                        await trio.sleep(
+                            batch_pause_s(
+                                apply_within_s=self._apply_within_s,
+                                read_s=self._read_s,
+                            )
+                        )
+
+    def _apply(self, changes: ChangeSet) -> None:
+        began_at_s = self._clock()
+        # A slow instance takes long to decode a large configuration, so only the last
+        # one of a burst is decoded.
+        for change in changes.without_superseded(CONFIG_KEY):
+            self._view.apply(change, now_s=self._clock())
+        read_s = changes.transfer_s + self._clock() - began_at_s
+        self._read_s = max(read_s, _READ_DECAY * self._read_s)
 
     async def _wait_for_changes(
         self, revision: StoreRevision
--- a/galenashift/gateway/tests/test_store_watch.py
+++ b/galenashift/gateway/tests/test_store_watch.py
@@ -2,16 +2,23 @@
 
 import json
 
+import pytest
 import trio
 import trio.testing
 
-from galenashift.gateway._store_watch import Registration, StoreWatch
+from galenashift.gateway._store_watch import (
+    Registration,
+    StoreWatch,
+    batch_pause_s,
+)
 from galenashift.gateway._view import PlatformView
-from galenashift.gateway.tests.test_view import config_item
+from galenashift.gateway.tests.test_view import config_item, upstream_item
 from galenashift.model import DaemonId
 from galenashift.platform import (
+    CONFIG_KEY,
     Address,
     ChangeSet,
+    Deletion,
     LeaseId,
     PeerAddress,
     Snapshot,
@@ -41,6 +48,8 @@
         self.silent = False
         self.gone = False
         self.calls = 0
+        #: Time that an answer with changes takes to arrive, in seconds.
+        self.transfer_s = 0.0
         self._changed = trio.Event()
 
     def write(self):
@@ -71,7 +80,10 @@
             await trio.sleep(wait_s + 0.6)
             return _UNREACHABLE
         changed = (config_item(self.version),) if after < self.revision else ()
-        return ChangeSet(changes=changed, revision=StoreRevision(self.revision))
+        revision = StoreRevision(self.revision)
+        if changed:
+            await trio.sleep(self.transfer_s)
+        return ChangeSet(changes=changed, revision=revision, transfer_s=self.transfer_s)
 
     async def grant_lease(self, *, lifetime_s):
         return _UNREACHABLE if self.silent else LeaseId(7)
@@ -183,6 +195,43 @@
     run_with_store(scenario)
 
 
+def test_large_changes_on_a_slow_link_are_applied_in_time():
+    # A large configuration took 1.6 s to arrive on a link of 10 Mbit/s, so that a key
+    # that had been added was refused 0.1 s too long (kssco-swap-large, small twin of
+    # trouble-1, seed of the standard day).
+    async def scenario(store, view):
+        store.transfer_s = 1.6
+        store.write()
+        await wait_until_applied(store, view, within_s=_APPLY_WITHIN_S)
+        for _ in range(5):
+            store.write()
+            await wait_until_applied(store, view, within_s=_APPLY_WITHIN_S)
+
+    run_with_store(scenario)
+
+
+@pytest.mark.parametrize(
+    ("apply_within_s", "read_s", "pause_s"),
+    [(4.0, 0.0, 2.7), (4.0, 1.6, 1.1), (4.0, 9.0, 0.2), (2.0, 0.1, 0.6)],
+)
+def test_pause_leaves_the_time_to_read_changes(apply_within_s, read_s, pause_s):
+    pause = batch_pause_s(apply_within_s=apply_within_s, read_s=read_s)
+    assert pause == pytest.approx(pause_s)
+
+
+def test_only_the_last_configuration_of_a_burst_is_applied():
+    # Decoding each of several large configurations delayed the last one. The changes of
+    # an upstream all count: its removal also ends what is known of its health.
+    upstream = upstream_item("u1")
+    deletion = Deletion(key=upstream.key, revision=StoreRevision(3))
+    changes = ChangeSet(
+        changes=(config_item(1), upstream, config_item(2), deletion, upstream),
+        revision=StoreRevision(3),
+    )
+    applied = changes.without_superseded(CONFIG_KEY)
+    assert applied == (upstream, config_item(2), deletion, upstream)
+
+
 def test_change_that_follows_another_is_applied_in_time():
     # The pause after a change must leave enough time to read and apply the next one.
     async def scenario(store, view):
--- a/galenashift/platform/_store.py
+++ b/galenashift/platform/_store.py
@@ -84,6 +84,13 @@
     changes: tuple[Item | Deletion, ...]
     #: Revision after which to continue the watch.
     revision: StoreRevision
+    #: Time that it took to receive and decode the changes, in seconds.
+    transfer_s: float = 0.0
+
+    def without_superseded(self, key: str) -> tuple[Item | Deletion, ...]:
+        """Return the changes without all but the last one of a key."""
+        of_key = [change for change in self.changes if change.key == key]
+        return tuple(change for change in self.changes if change not in of_key[:-1])
 
 
 class PlatformStore:
@@ -153,7 +160,8 @@
             revision = StoreRevision(to_integer(answer["store_revision"]))
         except DECODING_ERRORS as error:
             return _malformed_answer(error)
-        return ChangeSet(changes=changes, revision=revision)
+        transfer_s = result.transfer_s if isinstance(result, HttpAnswer) else 0.0
+        return ChangeSet(changes=changes, revision=revision, transfer_s=transfer_s)
 
     async def put(
         self, *, key: str, value: bytes, lease: LeaseId
--- a/galenashift/store/_http.py
+++ b/galenashift/store/_http.py
@@ -44,6 +44,8 @@
     body: Mapping[str, Any]
     #: Header values by lower-case name.
     headers: Mapping[str, str]
+    #: Time from the arrival of the headers to the decoded body, in seconds.
+    transfer_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -127,8 +129,9 @@
                     content=None if body is None else json.dumps(body).encode(),
                     extensions={"trace": trace},
                 ) as response:
+                    began_at_s = trio.current_time()
                     content = await _read_body(response)
-                return _decode_response(response, content)
+                return _decode_response(response, content, began_at_s=began_at_s)
             detail = f"{method} {path}: no answer within {timeout_s:g} s"
             self._retire(pool)
         except (*_CALL_ERRORS, _AnswerTooLarge, OSError) as error:
@@ -171,7 +174,9 @@
     return bytes(body)
 
 
-def _decode_response(response: httpcore.Response, content: bytes) -> HttpAnswer:
+def _decode_response(
+    response: httpcore.Response, content: bytes, *, began_at_s: float
+) -> HttpAnswer:
     try:
         body = json.loads(content or b"{}")
     except (RecursionError, ValueError):
@@ -184,4 +189,5 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in response.headers
         },
+        transfer_s=trio.current_time() - began_at_s,
     )
