Keep the shutdown from asking a closed connection whether it is idle

Cause: a connection that its caller had reset while it was idle kept its idle scope, so the shutdown asked the closed socket whether it is readable. The ValueError ended the process before its other requests were answered. Change: a connection that ends is no longer idle; the log line of a failed task names the line of code. Figures: the new test failed before the change and passes after it.

--- a/galenashift/gateway/_caller.py
+++ b/galenashift/gateway/_caller.py
@@ -182,6 +182,8 @@
             # The caller has disconnected; the handler has logged its request.
             return
         finally:
+            # The closed socket must not be asked whether it is readable.
+            self._idle_scope = None
             await trio.aclose_forcefully(self._stream)
 
     def is_idle(self, *, now_s: float) -> bool:
--- a/galenashift/gateway/_supervisor.py
+++ b/galenashift/gateway/_supervisor.py
@@ -1,7 +1,9 @@
 """Keeps background tasks running after unexpected errors."""
 
+import traceback
 from collections import deque
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import trio
 
@@ -100,11 +102,20 @@
     def _record(self, name: str, error: Exception) -> None:
         self._history.record(name, now_s=self._clock())
         self._metrics.count("task_failures_total", task=name)
-        self._events.error("task-failed", task=name, detail=_describe(error))
+        cause = _first_error(error)
+        self._events.error(
+            "task-failed", task=name, detail=repr(cause), at=_location(cause)
+        )
 
 
-def _describe(error: BaseException) -> str:
-    """Describe an exception, or the first one of a group."""
+def _first_error(error: BaseException) -> BaseException:
+    """Return an exception, or the first one of a group."""
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
-    return repr(error)
+    return error
+
+
+def _location(error: BaseException) -> str:
+    """Return the line that raised an exception, such as ``_view.py:120``."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else ""
--- a/galenashift/gateway/tests/test_caller.py
+++ b/galenashift/gateway/tests/test_caller.py
@@ -1,5 +1,6 @@
 """Connections of callers: limits, disconnects and shutdown."""
 
+import struct
 from functools import partial
 
 import pytest
@@ -190,6 +191,23 @@
     assert data.endswith(b"in")
 
 
+def test_connection_that_was_reset_while_idle_can_be_asked():
+    # The shutdown asks all connections whether they are idle. Asking the closed socket
+    # raised an exception that ended the process before its requests were answered.
+    connections = []
+
+    async def scenario(stream):
+        await trio.sleep(0.05)
+        linger = struct.pack("ii", 1, 0)
+        stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+        stream.socket.close()
+        await trio.sleep(0.05)
+        return b""
+
+    run_as_caller(Handler(), scenario, connections=connections)
+    assert not connections[0].is_idle(now_s=0.0)
+
+
 def test_shutdown_closes_idle_connections_only():
     # The answer to a request in progress must be delivered completely.
     connections = []
