Show what a silent batching daemon starts again

Cause: it was not shown that a short silence leaves work alone, and that a daemon that was given up drops its jobs.

--- a/galenashift/gateway/tests/test_stage_link.py
+++ b/galenashift/gateway/tests/test_stage_link.py
@@ -1,5 +1,7 @@
 """Tests of the links that carry stage jobs between daemons."""
 
+import contextlib
+
 import trio
 import trio.testing
 
@@ -193,3 +195,79 @@
 
     wait = trio.run(run_with_link, server.serve, scenario, latencies)
     assert wait == StageWait(on_time_s=0.25, late_s=1.5)
+
+
+class SilentProxy:
+    """Forwards a link to a server, and holds back all its bytes while `silent`."""
+
+    def __init__(self, server: StageServer) -> None:
+        self._server = server
+        self.silent = False
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Connect a caller to the server until both have closed the link."""
+        listener = Listener(self._server.serve)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(listener.run)
+            address = listener.address
+            server = await trio.open_tcp_stream(address.host, address.port)
+            async with trio.open_nursery() as copies:
+                copies.start_soon(self._copy, stream, server)
+                copies.start_soon(self._copy, server, stream)
+            nursery.cancel_scope.cancel()
+
+    async def _copy(self, source, target) -> None:
+        # Either end may close the link at any time.
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async for data in source:
+                await self._wait_until_audible()
+                await target.send_all(data)
+        await self._wait_until_audible()
+        await target.aclose()
+
+    async def _wait_until_audible(self) -> None:
+        while self.silent:
+            await trio.sleep(0.01)
+
+
+def _execute_with_silence(silent_s: float) -> tuple[StageOutcome, FakeScheduler]:
+    """Execute a job of 1.5 s on a link that is silent for a time after its start."""
+    scheduler = FakeScheduler(delay_s=1.5)
+    proxy = SilentProxy(StageServer(scheduler=scheduler, clock=trio.current_time))
+
+    async def end_silence():
+        await trio.sleep(silent_s)
+        proxy.silent = False
+
+    async def scenario(link):
+        outcomes = []
+
+        async def execute():
+            outcomes.append(await link.execute(service=_SERVICE, job=new_job()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(execute)
+            while not scheduler.jobs:
+                await trio.sleep(0.01)
+            proxy.silent = True
+            nursery.start_soon(end_silence)
+        await trio.sleep(0.2)
+        return outcomes[0]
+
+    return trio.run(run_with_link, proxy.serve, scenario), scheduler
+
+
+def test_short_silence_of_a_peer_does_not_start_its_work_again():
+    # A batching daemon that is silent for a long turn of its event loop still makes
+    # its pieces. They must not be made at another daemon, too.
+    outcome, scheduler = _execute_with_silence(0.3)
+    assert isinstance(outcome, StageSucceeded)
+    assert (len(scheduler.jobs), scheduler.cancelled) == (1, 0)
+
+
+def test_peer_that_was_given_up_drops_the_job():
+    # After 0.7 s of silence the job runs at the next daemon. The first one must drop
+    # what it has not sent to an upstream, or its pieces are made twice.
+    outcome, scheduler = _execute_with_silence(1.2)
+    assert outcome == StageFailed(problem=StageProblem.UNREACHABLE)
+    assert (len(scheduler.jobs), scheduler.cancelled) == (1, 1)
