Move the deadlines of open requests out of the relay

Change: the scopes of the requests that are being answered, and the refusal of those that were not sent, are a module of their own; no behaviour changes.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -176,7 +176,7 @@
             nursery.start_soon(self._caller_listener.accept, nursery)
             await self._shutdown.wait_until_done(
                 requests=lambda: self._open_requests,
-                refuse_unsent=self._relay.refuse_unsent,
+                refuse_unsent=self._relay.open_requests.refuse_unsent,
                 close_listener=self._close_caller_listener,
                 clock=self._clock,
             )
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -40,6 +40,7 @@
     stage_failure,
     timeout_failure,
 )
+from ._open_requests import OpenRequests
 from ._outcome_recorder import OutcomeRecorder
 from ._request import ActiveRequest, decode_fields, resolve_request
 from ._request_log import RequestLog
@@ -93,7 +94,8 @@
         self._stages = stages
         self._latencies = latencies
         self._crashes = crashes
-        self._active_scopes: list[tuple[ActiveRequest, trio.CancelScope]] = []
+        #: Requests that are being answered.
+        self.open_requests = OpenRequests()
         self._recorder = OutcomeRecorder(health=router.health, latencies=latencies)
         self._log = RequestLog(events=events, metrics=metrics, clock=clock)
         self._retries = RetryPolicy(budgets=budgets, log=self._log)
@@ -161,22 +163,12 @@
     async def _serve(self, job: ActiveRequest, responder: Responder) -> Failure | None:
         now_s = self._clock()
         self._retries.count_request(job, now_s=now_s)
-        with trio.move_on_after(max(0.0, job.deadline_s - now_s)) as scope:
-            self._active_scopes.append((job, scope))
-            try:
-                if not job.route.stages:
-                    return await self._send_with_retries(job, responder, ())
-                return await self._serve_staged(job, responder)
-            finally:
-                self._active_scopes.remove((job, scope))
+        with self.open_requests.deadline(job, now_s=now_s):
+            if not job.route.stages:
+                return await self._send_with_retries(job, responder, ())
+            return await self._serve_staged(job, responder)
         return timeout_failure(sent=job.may_have_run)
 
-    def refuse_unsent(self) -> None:
-        """Refuse the requests that were not sent yet, before the process ends."""
-        for job, scope in self._active_scopes:
-            if not job.may_have_run:
-                scope.cancel()
-
     async def _serve_staged(
         self, job: ActiveRequest, responder: Responder
     ) -> Failure | None:
--- a/galenashift/gateway/tests/relay_fakes.py
+++ b/galenashift/gateway/tests/relay_fakes.py
@@ -248,7 +248,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(relay.handle, request, responder)
             await trio.sleep(refuse_after_s)
-            relay.refuse_unsent()
+            relay.open_requests.refuse_unsent()
         return clock()
 
     clock = trio.testing.MockClock(autojump_threshold=0)
