--- a/galenashift/gateway/_request_log.py
+++ b/galenashift/gateway/_request_log.py
@@ -99,6 +99,7 @@
             eligible=choice.eligible,
             cost_s=choice.cost_s,
             by_prefix=choice.by_prefix,
+            parts=",".join(each.part_id for each in request.fields.prompt_parts),
             left_s=request.deadline_s - now_s,
         )
 
