--- a/standins/_platform_upstream.py
+++ b/standins/_platform_upstream.py
@@ -11,6 +11,7 @@
 from ._platform_http import Reply, Request, Reset
 
 _ATTEMPT_HEADER = "galenashift-attempt-id"
+_PROMPT_PARTS_HEADER = "galenashift-prefix-hash"
 _NOT_RUN_HEADERS = {"galenashift-not-executed": "1"}
 _MISDIRECTED = 421
 _OVERLOADED = 503
@@ -62,6 +63,12 @@
     #: Descriptions of requests that violated the protocol.
     violations: list[str] = field(default_factory=list)
     running: int = 0
+    #: Prompt part that crashes the upstream when the answer to a prompt with it begins.
+    crashing_part: str | None = None
+    #: Called at a crash; closes all connections of the upstream.
+    on_crash: Callable[[], None] = lambda: None
+    #: Times of the crashes, on `clock`.
+    crashed_at_s: list[float] = field(default_factory=list)
     address: str = ""
     #: All stage upstreams of the deployment, by address.
     stages_by_address: dict[str, "Upstream"] = field(default_factory=dict)
@@ -118,8 +125,22 @@
         if self.kind is Kind.PLAIN:
             return Reply(headers=headers, body=f"answer to {attempt}".encode())
         after = int(request.headers.get("last-event-id", "0"))
+        if self._crashes(request):
+            return Reply(headers=headers, parts=self._crash(attempt))
         return Reply(headers=headers, parts=self._stream(attempt, after))
 
+    def _crashes(self, request: Request) -> bool:
+        entries = request.headers.get(_PROMPT_PARTS_HEADER, "").split(",")
+        shared = {entry.partition(":")[0] for entry in entries[:-1]}
+        return self.crashing_part in shared
+
+    async def _crash(self, attempt: str) -> AsyncIterator[bytes]:
+        yield f"id: 1\ndata: {attempt}"[:-4].encode()
+        await trio.sleep(self.work_s)
+        self.crashed_at_s.append(self.clock())
+        self.on_crash()
+        raise Reset
+
     async def _stream(self, attempt: str, after: int) -> AsyncIterator[bytes]:
         break_at_event = self.events + 1
         if self.random.random() < self.stream_break_probability:
--- a/testbed/_forwarder.py
+++ b/testbed/_forwarder.py
@@ -33,8 +33,8 @@
         #: Whether bytes from a socket are forwarded, for both ends of each connection.
         self._forwards_by_socket: dict[socket.socket, bool] = {}
         self._lock = threading.Lock()
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._listener = self._listen(0)
+        self._port = int(self._listener.getsockname()[1])
 
     def __enter__(self) -> Self:
         return self
@@ -45,13 +45,13 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._listener.close()
+        self._stop_listening()
         self.cut()
 
     @property
     def address(self) -> str:
         """IP address and port of the forwarder."""
-        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+        return f"127.0.0.1:{self._port}"
 
     @property
     def url(self) -> str:
@@ -61,6 +61,29 @@
     def cut(self) -> None:
         """Close open connections, and new ones as soon as they are accepted."""
         self._link_state = LinkState.CUT
+        self._close_open()
+
+    def refuse(self) -> None:
+        """Close open connections and stop listening, as after a crash of the target."""
+        self._stop_listening()
+        self._close_open()
+
+    def listen_again(self) -> None:
+        """Listen at the same address after `refuse`."""
+        self._listener = self._listen(self._port)
+
+    def _listen(self, port: int) -> socket.socket:
+        listener = socket.create_server(("127.0.0.1", port))
+        threading.Thread(target=self._accept, args=(listener,), daemon=True).start()
+        return listener
+
+    def _stop_listening(self) -> None:
+        # A close alone does not end a call of accept in another thread.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _close_open(self) -> None:
         with self._lock:
             for end in self._forwards_by_socket:
                 with contextlib.suppress(OSError):
@@ -81,16 +104,16 @@
         """Forward new connections again."""
         self._link_state = LinkState.OPEN
 
-    def _accept(self) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                client, _ = self._listener.accept()
+                client, _ = listener.accept()
                 if self._link_state is LinkState.CUT:
                     client.close()
                     continue
                 server = socket.create_connection(self._target)
             except OSError:
-                if self._listener.fileno() < 0:
+                if listener.fileno() < 0:
                     return
                 continue
             with self._lock:
