--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -26,6 +26,7 @@
 
 from ._caller import CallerConnection
 from ._cold_limiter import ColdUpstreamLimiter
+from ._crash_reports import CrashReporter
 from ._crashes import CrashGuard
 from ._drain import Shutdown
 from ._exchange import Exchanger
@@ -129,9 +130,14 @@
             started_at_s=clock(),
         )
         self._crashes = CrashGuard(
-            store=store,
-            reports=lambda: self._view.crashes_by_request,
+            daemon_id=settings.daemon_id,
+            view=self._view,
+            reporter=CrashReporter(
+                store=store, events=self._events, random=Random(), clock=clock
+            ),
             events=self._events,
+            metrics=self._metrics,
+            clock=clock,
         )
         self._relay = Relay(
             view=self._view,
--- a/galenashift/gateway/_connection.py
+++ b/galenashift/gateway/_connection.py
@@ -30,7 +30,7 @@
 
     :param detail: One-line description.
     :param reset: Whether a socket error occurred, or the peer closed the connection
-        without an answer.
+        before the end of its answer.
     """
 
     def __init__(self, detail: str, *, reset: bool = False) -> None:
@@ -50,7 +50,14 @@
 
 
 class ConnectFailed(ConnectionFailed):
-    """No connection was established, so nothing was sent."""
+    """No connection was established, so nothing was sent.
+
+    :param refused: Whether no process listens at the address.
+    """
+
+    def __init__(self, detail: str, *, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -71,6 +78,7 @@
         self._sock = sock
         self._parser = h11.Connection(h11.CLIENT)
         self._closed = False
+        self._peer_closed = False
         #: Whether the connection has completed an earlier request.
         self.reused = False
         #: Boot-time clock of the end of the last answer, in seconds.
@@ -171,7 +179,8 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionFailed(f"not HTTP: {error}") from error
+                detail = f"not HTTP: {error}"
+                raise ConnectionFailed(detail, reset=self._peer_closed) from error
             if event is h11.PAUSED:
                 raise ConnectionFailed("unexpected protocol switch")
             if event is not h11.NEED_DATA:
@@ -184,6 +193,7 @@
             data = await self._sock.recv(_READ_BYTES)
         except (OSError, trio.ClosedResourceError) as error:
             raise ConnectionFailed(f"read: {error!r}", reset=True) from error
+        self._peer_closed = not data
         if not data and self._parser.their_state is h11.SEND_RESPONSE:
             raise ConnectionFailed("closed without an answer", reset=True)
         try:
@@ -260,7 +270,8 @@
     except OSError as error:
         sock.close()
         name = errno.errorcode.get(error.errno or 0, "error")
-        raise ConnectFailed(f"connect: {name}") from error
+        refused = error.errno == errno.ECONNREFUSED
+        raise ConnectFailed(f"connect: {name}", refused=refused) from error
     except BaseException:
         sock.close()
         raise
--- /dev/null
+++ b/galenashift/gateway/_crash_policy.py
@@ -0,0 +1,82 @@
+"""Decides on requests that may crash upstreams: refusal, suspicion and retries."""
+
+import trio
+
+from galenashift.model import CrashSuspects, Failure, RegisteredUpstream
+from galenashift.retries import Quarantine
+
+from ._crashes import CrashGuard, Suspicion, Trial
+from ._exchange import Broken, Outcome, StreamEnded
+from ._failures import quarantine_failure
+from ._request import ActiveRequest
+
+#: Longest wait for the examination of a crash before a retry, in seconds.
+_EXAMINATION_TIMEOUT_S = 0.5
+
+
+class CrashPolicy:
+    """Applies the evidence on crashes to single requests."""
+
+    def __init__(self, *, crashes: CrashGuard) -> None:
+        self._crashes = crashes
+
+    def refusal(self, job: ActiveRequest) -> Failure | None:
+        """Return the failure of a new request with a quarantined suspect, if any."""
+        if not self._crashes.has_crashes:
+            return None
+        match self._crashes.admit(job.suspects):
+            case Quarantine() as quarantine:
+                return quarantine_failure(job.verdict, quarantine)
+            case Trial():
+                job.on_trial = True
+                return None
+            case None:
+                return None
+
+    def refusal_before_send(self, job: ActiveRequest) -> Failure | None:
+        """Return the failure by a quarantine that began after `refusal`, if any."""
+        if job.on_trial or not self._crashes.has_crashes:
+            return None
+        quarantine = self._crashes.find_quarantine(job.suspects)
+        if quarantine is None:
+            return None
+        return quarantine_failure(job.verdict, quarantine)
+
+    def suspect(
+        self,
+        job: ActiveRequest,
+        upstream: RegisteredUpstream,
+        outcome: Outcome,
+    ) -> Suspicion | None:
+        """Report a suspected crash if the connection ended before the answer did."""
+        match outcome:
+            case Broken(reset=True):
+                suspects = CrashSuspects(not_begun=job.suspects, begun={})
+            case StreamEnded(complete=False, started=True):
+                suspects = CrashSuspects(not_begun={}, begun=job.suspects)
+            case _:
+                return None
+        suspicion = Suspicion(
+            attempt_id=job.fields.attempt_id, upstream=upstream, suspects=suspects
+        )
+        self._crashes.suspect(suspicion)
+        return suspicion
+
+    def complete(self, job: ActiveRequest, *, sent_at_s: float) -> None:
+        """Clear what a request contains, as an upstream answered it completely.
+
+        :param sent_at_s: Boot-time clock at which it was sent there, in seconds.
+        """
+        # The digest of a large body takes long, and helps only if there is a crash.
+        suspects = job.suspects if self._crashes.has_crashes else job.part_suspects
+        self._crashes.complete(suspects, sent_at_s=sent_at_s)
+
+    async def forbids_retry(
+        self, job: ActiveRequest, suspicion: Suspicion | None
+    ) -> bool:
+        """Tell whether a request is not repeated as it may crash the next upstream."""
+        if suspicion is None or not job.route.repeatable:
+            return False
+        with trio.move_on_after(_EXAMINATION_TIMEOUT_S):
+            await suspicion.examined.wait()
+        return self._crashes.is_suspected(job.suspects)
--- /dev/null
+++ b/galenashift/gateway/_crash_reports.py
@@ -0,0 +1,122 @@
+"""Writes crash reports to the store until it accepts them."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Protocol
+
+import trio
+
+from galenashift.platform import (
+    MAX_RECORDS_PER_WRITE,
+    LeaseId,
+    StoreFailure,
+    StoreProblem,
+    StoreRevision,
+)
+from galenashift.retries import CRASH_LIFETIME_S
+from galenashift.telemetry import EventLog
+
+#: Time in which reports that follow each other are gathered into one write, in seconds.
+_GATHER_S = 0.05
+#: Shortest and longest pause after a failed write, in seconds. All daemons may have
+#: reports to write when the store returns.
+_MIN_RETRY_PAUSE_S = 0.2
+_MAX_RETRY_PAUSE_S = 1.0
+#: Age up to which a lease is used for further records, in seconds.
+_LEASE_REUSE_S = 60.0
+#: Records that wait to be written; further ones are dropped.
+_MAX_PENDING = 512
+
+
+class ReportStore(Protocol):
+    """Store of the crash reports of all daemons."""
+
+    async def grant_lease(self, *, lifetime_s: float) -> LeaseId | StoreFailure:
+        """Create a lease."""
+
+    async def put_all(
+        self, value_by_key: Mapping[str, bytes], *, lease: LeaseId
+    ) -> StoreRevision | StoreFailure:
+        """Write records that expire with a lease."""
+
+
+class CrashReporter:
+    """Queue of records on crashes.
+
+    :param clock: Boot-time clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ReportStore,
+        events: EventLog,
+        random: Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._clock = clock
+        self._lease: LeaseId | None = None
+        self._lease_granted_at_s = 0.0
+        self._store = store
+        self._events = events
+        self._random = random
+        self._value_by_key: dict[str, bytes] = {}
+        self._has_pending = trio.Event()
+
+    def enqueue(self, *, key: str, value: bytes) -> None:
+        """Queue a record; it replaces one that waits under the same key."""
+        if key not in self._value_by_key and len(self._value_by_key) >= _MAX_PENDING:
+            self._events.warning("crash-report-dropped", key=key)
+            return
+        self._value_by_key[key] = value
+        self._has_pending.set()
+
+    async def run(self) -> None:
+        """Write the queued records until cancelled."""
+        while True:
+            await self._has_pending.wait()
+            await trio.sleep(_GATHER_S)
+            failure = await self._write_some()
+            if failure is not None:
+                self._events.warning(
+                    "crash-not-reported",
+                    problem=failure.problem,
+                    detail=failure.detail,
+                    pending=len(self._value_by_key),
+                )
+                await trio.sleep(
+                    self._random.uniform(_MIN_RETRY_PAUSE_S, _MAX_RETRY_PAUSE_S)
+                )
+            elif not self._value_by_key:
+                self._has_pending = trio.Event()
+
+    async def _write_some(self) -> StoreFailure | None:
+        lease = await self._current_lease()
+        if isinstance(lease, StoreFailure):
+            return lease
+        keys = list(self._value_by_key)[:MAX_RECORDS_PER_WRITE]
+        batch = {key: self._value_by_key[key] for key in keys}
+        written = await self._store.put_all(batch, lease=lease)
+        if isinstance(written, StoreFailure):
+            if written.problem is StoreProblem.NOT_FOUND:
+                self._lease = None
+            return written
+        self._events.info("crash-records-written", records=len(batch), lease=lease)
+        for key, value in batch.items():
+            if self._value_by_key.get(key) == value:
+                del self._value_by_key[key]
+        return None
+
+    async def _current_lease(self) -> LeaseId | StoreFailure:
+        now_s = self._clock()
+        if (
+            self._lease is not None
+            and now_s - self._lease_granted_at_s < _LEASE_REUSE_S
+        ):
+            return self._lease
+        lease = await self._store.grant_lease(lifetime_s=CRASH_LIFETIME_S)
+        if isinstance(lease, StoreFailure):
+            return lease
+        self._lease = lease
+        self._lease_granted_at_s = now_s
+        return lease
--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -1,54 +1,68 @@
-"""Detects and quarantines requests that crash the upstreams that execute them."""
+"""Detects crashes of upstreams, and refuses requests with what causes them."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
-from typing import Protocol
 
 import trio
 
-from galenashift.model import Fingerprint, OrganisationId, RegisteredUpstream
+from galenashift.membership import rank_daemons
+from galenashift.model import (
+    CrashId,
+    CrashSuspects,
+    DaemonId,
+    Fingerprint,
+    OrganisationId,
+    RegisteredUpstream,
+    SuspectId,
+)
 from galenashift.platform import (
     CrashReport,
-    LeaseId,
-    StoreFailure,
-    StoreRevision,
+    cleared_key,
+    crash_id_of,
     crash_key,
+    encode_cleared,
     encode_crash,
 )
-from galenashift.telemetry import EventLog
+from galenashift.retries import Quarantine
+from galenashift.telemetry import EventLog, Metrics
 
 from ._connection import ConnectFailed, open_socket
+from ._crash_reports import CrashReporter
+from ._view import PlatformView
 
-#: Number of crashes with a request in flight after which the request is quarantined.
-MAX_CRASHES = 3
-#: Time after which a crash is forgotten, in seconds.
-_CRASH_LIFETIME_S = 60.0
 #: Time from a broken connection to the probe of its upstream, in seconds.
 _PROBE_DELAY_S = 0.05
 #: Suspected crashes that wait to be examined; further ones are logged and dropped.
 _MAX_PENDING_SUSPICIONS = 100
-
-
-class CrashStore(Protocol):
-    """Store of the crash reports of all daemons."""
-
-    async def grant_lease(self, *, lifetime_s: float) -> LeaseId | StoreFailure:
-        """Create a lease."""
-
-    async def put(
-        self, *, key: str, value: bytes, lease: LeaseId
-    ) -> StoreRevision | StoreFailure:
-        """Write a record that expires with a lease."""
+#: Time between two checks for crashes to forget, in seconds.
+_EXPIRY_INTERVAL_S = 5.0
+#: Daemons that report a cleared suspect at different times, so that the report of the
+#: first one spares those of the others.
+_RANKED_DAEMONS = 20
+#: Time between the reports of two of these daemons, in seconds.
+_RANK_DELAY_S = 0.1
+#: Crashes whose own reports are kept, to be merged with later suspicions.
+_MAX_OWN_CRASHES = 64
 
 
 @dataclass(frozen=True, kw_only=True)
 class Suspicion:
     """A request that was in flight when its upstream closed the connection."""
 
-    fingerprint: Fingerprint
     attempt_id: str
     upstream: RegisteredUpstream
+    #: What in the request may have caused the crash.
+    suspects: CrashSuspects
+    #: Set when the suspicion has been confirmed or dropped.
+    examined: trio.Event = field(default_factory=trio.Event, compare=False)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Trial:
+    """A request that is sent to find out whether a quarantine is right."""
+
+    suspect: SuspectId
 
 
 def fingerprint(
@@ -68,92 +82,195 @@
 
 
 class CrashGuard:
-    """Reports crashes to all daemons and quarantines requests that cause too many.
+    """Gathers evidence on crashes and refuses requests with a quarantined suspect.
 
-    A broken connection alone does not prove a crash: the upstream must also fail to
-    accept a new connection.
+    A broken connection alone does not prove a crash: the upstream must be in use, and
+    its address must refuse a new connection.
 
-    :param reports: Returns the attempts that were in flight at a crash, as reported by
-        all daemons, by request.
+    :param view: Holds the evidence, as reported by all daemons.
+    :param clock: Boot-time clock.
     """
 
     def __init__(
         self,
         *,
-        store: CrashStore,
-        reports: Callable[[], Mapping[Fingerprint, set[str]]],
+        daemon_id: DaemonId,
+        view: PlatformView,
+        reporter: CrashReporter,
         events: EventLog,
+        metrics: Metrics,
+        clock: Callable[[], float],
     ) -> None:
-        self._store = store
-        self._reports = reports
+        self._daemon_id = daemon_id
+        self._view = view
+        self._evidence = view.crash_evidence
+        self._reporter = reporter
         self._events = events
-        self._own_crashes: dict[Fingerprint, set[str]] = {}
+        self._metrics = metrics
+        self._clock = clock
+        self._own_suspects_by_crash: dict[CrashId, CrashSuspects] = {}
         self._suspicion_sender, self._suspicion_receiver = trio.open_memory_channel[
             Suspicion
         ](_MAX_PENDING_SUSPICIONS)
+        self._cleared_sender, self._cleared_receiver = trio.open_memory_channel[
+            SuspectId
+        ](_MAX_PENDING_SUSPICIONS)
 
     @property
-    def has_no_crashes(self) -> bool:
-        """Whether no crash of any request is known."""
-        return not self._own_crashes and not self._reports()
+    def has_crashes(self) -> bool:
+        """Whether any crash is known."""
+        return self._evidence.has_crashes
+
+    def admit(self, suspects: Mapping[SuspectId, int]) -> Quarantine | Trial | None:
+        """Return the quarantine that refuses a new request, or None if it may be sent.
+
+        :returns: A `Trial` if it may be sent in spite of a quarantine.
+        """
+        quarantine = self._evidence.find_quarantine(suspects)
+        if quarantine is None:
+            return None
+        if self._tries(quarantine):
+            self._events.warning(
+                "quarantine-tried",
+                suspect=quarantine.suspect,
+                crashes=quarantine.crashes,
+            )
+            return Trial(suspect=quarantine.suspect)
+        return self._refuse(quarantine, suspects)
 
-    def is_quarantined(self, request: Fingerprint) -> bool:
-        """Tell whether a request has crashed `MAX_CRASHES` upstreams."""
-        reported = self._reports().get(request, set())
-        return len(reported | self._own_crashes.get(request, set())) >= MAX_CRASHES
+    def find_quarantine(self, suspects: Mapping[SuspectId, int]) -> Quarantine | None:
+        """Return the quarantine of a request that was admitted before, if any."""
+        quarantine = self._evidence.find_quarantine(suspects)
+        return None if quarantine is None else self._refuse(quarantine, suspects)
+
+    def _tries(self, quarantine: Quarantine) -> bool:
+        """Tell whether this daemon tries one request in spite of a quarantine."""
+        ranked = rank_daemons(
+            key=quarantine.suspect, daemons=self._view.peers_by_id, count=1
+        )
+        if ranked != (self._daemon_id,):
+            return False
+        return self._evidence.begin_trial(quarantine, now_s=self._clock())
+
+    def _refuse(
+        self, quarantine: Quarantine, suspects: Mapping[SuspectId, int]
+    ) -> Quarantine:
+        """Keep a quarantine in force while requests with its suspect come."""
+        self._metrics.count("quarantine_refusals_total")
+        for crash_id in self._evidence.extend(quarantine, now_s=self._clock()):
+            depth = suspects[quarantine.suspect]
+            kept = CrashSuspects(not_begun={quarantine.suspect: depth}, begun={})
+            self._report(crash_id, kept)
+        return quarantine
+
+    def is_suspected(self, suspects: Mapping[SuspectId, int]) -> bool:
+        """Tell whether one more crash could quarantine a request."""
+        return self._evidence.is_suspected(suspects)
 
     def suspect(self, suspicion: Suspicion) -> None:
         """Queue a probe of the upstream whose connection broke."""
         try:
             self._suspicion_sender.send_nowait(suspicion)
         except trio.WouldBlock:
+            suspicion.examined.set()
             self._events.warning(
                 "crash-not-examined", upstream=suspicion.upstream.upstream_id
             )
 
+    def complete(self, suspects: Mapping[SuspectId, int], *, sent_at_s: float) -> None:
+        """Clear the suspects of a request that an upstream answered completely.
+
+        :param sent_at_s: Boot-time clock at which it was sent there, in seconds.
+        """
+        changes, cleared = self._evidence.record_completion(
+            suspects, sent_at_s=sent_at_s, now_s=self._clock()
+        )
+        self._view.report_quarantines(changes)
+        for suspect in cleared:
+            try:
+                self._cleared_sender.send_nowait(suspect)
+            except trio.WouldBlock:
+                self._events.warning("cleared-not-reported", suspect=suspect)
+
     async def run(self) -> None:
-        """Examine suspected crashes until cancelled."""
+        """Examine suspected crashes and write reports until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._reporter.run)
+            nursery.start_soon(self._forget_old_crashes)
+            nursery.start_soon(self._report_cleared, nursery)
             async for suspicion in self._suspicion_receiver:
                 nursery.start_soon(self._examine, suspicion)
 
+    async def _forget_old_crashes(self) -> None:
+        while True:
+            await trio.sleep(_EXPIRY_INTERVAL_S)
+            changes = self._evidence.expire(now_s=self._clock())
+            self._view.report_quarantines(changes)
+
     async def _examine(self, suspicion: Suspicion) -> None:
+        upstream = suspicion.upstream
+        in_use = self._view.accepts_requests(upstream, now_s=self._clock())
         await trio.sleep(_PROBE_DELAY_S)
-        if not await _is_unreachable(suspicion.upstream):
-            return
-        request = suspicion.fingerprint
+        crashed = in_use and await _refuses_connections(upstream)
         self._events.warning(
-            "upstream-crashed",
-            upstream=suspicion.upstream.upstream_id,
-            fingerprint=request,
+            "upstream-crashed" if crashed else "crash-not-confirmed",
+            upstream=upstream.upstream_id,
             request_id=None,
             attempt=suspicion.attempt_id,
+            suspects=",".join(suspicion.suspects.not_begun),
+            begun=",".join(suspicion.suspects.begun),
+            in_use=in_use,
         )
-        self._own_crashes.setdefault(request, set()).add(suspicion.attempt_id)
-        await self._report(suspicion)
-        await trio.sleep(_CRASH_LIFETIME_S)
-        self._own_crashes.pop(request, None)
-
-    async def _report(self, suspicion: Suspicion) -> None:
-        lease = await self._store.grant_lease(lifetime_s=_CRASH_LIFETIME_S)
-        if isinstance(lease, StoreFailure):
-            self._events.warning("crash-not-reported", detail=lease.detail)
-            return
+        if crashed:
+            self._record(suspicion)
+        suspicion.examined.set()
+
+    def _record(self, suspicion: Suspicion) -> None:
+        self._metrics.count("upstream_crashes_total")
+        crash_id = crash_id_of(suspicion.upstream)
+        changes = self._evidence.record_crash(
+            crash_id, suspicion.suspects, now_s=self._clock()
+        )
+        self._view.report_quarantines(changes)
+        own = suspicion.suspects
+        earlier = self._own_suspects_by_crash.get(crash_id)
+        if earlier is not None:
+            own = earlier.merged(own)
+        self._own_suspects_by_crash[crash_id] = own
+        if len(self._own_suspects_by_crash) > _MAX_OWN_CRASHES:
+            del self._own_suspects_by_crash[next(iter(self._own_suspects_by_crash))]
+        self._report(crash_id, own)
+
+    def _report(self, crash_id: CrashId, suspects: CrashSuspects) -> None:
         report = CrashReport(
-            fingerprint=suspicion.fingerprint, attempt_id=suspicion.attempt_id
+            crash_id=crash_id, reporter=self._daemon_id, suspects=suspects
         )
-        written = await self._store.put(
-            key=crash_key(report), value=encode_crash(), lease=lease
+        self._reporter.enqueue(key=crash_key(report), value=encode_crash(report))
+
+    async def _report_cleared(self, nursery: trio.Nursery) -> None:
+        async for suspect in self._cleared_receiver:
+            nursery.start_soon(self._report_cleared_in_turn, suspect)
+
+    async def _report_cleared_in_turn(self, suspect: SuspectId) -> None:
+        since_s = self._clock()
+        await trio.sleep(_RANK_DELAY_S * self._rank(suspect))
+        if self._evidence.was_reported_cleared(suspect, since_s=since_s):
+            return
+        self._reporter.enqueue(key=cleared_key(suspect), value=encode_cleared(suspect))
+
+    def _rank(self, suspect: SuspectId) -> int:
+        ranked = rank_daemons(
+            key=suspect, daemons=self._view.peers_by_id, count=_RANKED_DAEMONS
         )
-        if isinstance(written, StoreFailure):
-            self._events.warning("crash-not-reported", detail=written.detail)
+        if self._daemon_id in ranked:
+            return ranked.index(self._daemon_id)
+        return len(ranked)
 
 
-async def _is_unreachable(upstream: RegisteredUpstream) -> bool:
+async def _refuses_connections(upstream: RegisteredUpstream) -> bool:
     try:
         sock = await open_socket(host=upstream.host, port=upstream.port)
-    except ConnectFailed:
-        # The failed connection confirms that the upstream is down.
-        return True
+    except ConnectFailed as error:
+        return error.refused
     sock.close()
     return False
--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -1,6 +1,7 @@
 """Failures that are reported to callers."""
 
 from galenashift.model import Failure, Reason, Verdict, may_have_run, not_run
+from galenashift.retries import Quarantine
 
 from ._exchange import Broken, Outcome, Silent, StreamEnded
 from ._stage_outcome import StageFailed, StageProblem
@@ -88,10 +89,16 @@
     )
 
 
-def quarantine_failure() -> Failure:
-    """Return the failure of a request that has crashed several upstreams."""
+def quarantine_failure(verdict: Verdict, quarantine: Quarantine) -> Failure:
+    """Return the failure of a request that is like others that crashed upstreams.
+
+    :param verdict: Verdict on the earlier attempts.
+    """
+    detail = f"{quarantine.suspect} has crashed {quarantine.crashes} upstreams"
+    if verdict is not Verdict.NOT_RUN:
+        return may_have_run(reason=Reason.UPSTREAM_FAILED, detail=detail)
     return not_run(
         reason=Reason.OVERLOADED,
-        detail="upstreams crashed while executing this request",
+        detail=detail,
         retry_after_s=QUARANTINE_RETRY_AFTER_S,
     )
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -20,7 +20,8 @@
 from galenashift.telemetry import EventLog, Metrics
 
 from ._caller import CallerRequest, Responder
-from ._crashes import CrashGuard, Suspicion
+from ._crash_policy import CrashPolicy
+from ._crashes import CrashGuard
 from ._exchange import (
     Answered,
     Broken,
@@ -35,7 +36,6 @@
 from ._failures import (
     broken_failure,
     no_upstream_failure,
-    quarantine_failure,
     refused_failure,
     stage_failure,
     timeout_failure,
@@ -93,7 +93,7 @@
         self._exchanger = exchanger
         self._stages = stages
         self._latencies = latencies
-        self._crashes = crashes
+        self._crash_policy = CrashPolicy(crashes=crashes)
         #: Requests that are being answered.
         self.open_requests = OpenRequests()
         self._recorder = OutcomeRecorder(health=router.health, latencies=latencies)
@@ -134,32 +134,13 @@
             config=self._view.config,
             pick_service=self._router.pick_service,
         )
-        if not isinstance(job, Failure) and self._is_quarantined(job):
-            job = quarantine_failure()
+        if not isinstance(job, Failure):
+            refused = self._crash_policy.refusal(job)
+            job = job if refused is None else refused
         if isinstance(job, Failure):
             self._log.refused(request, job, attempt_id=fields.attempt_id)
         return job
 
-    def _is_quarantined(self, job: ActiveRequest) -> bool:
-        if self._crashes.has_no_crashes:
-            return False
-        return self._crashes.is_quarantined(job.fingerprint)
-
-    def _suspect_crash(
-        self, job: ActiveRequest, choice: Choice, outcome: Outcome
-    ) -> None:
-        """Report a suspected crash if the connection ended before the answer did."""
-        match outcome:
-            case Broken(reset=True) | StreamEnded(complete=False):
-                suspicion = Suspicion(
-                    fingerprint=job.fingerprint,
-                    attempt_id=job.fields.attempt_id,
-                    upstream=choice.upstream.registration,
-                )
-                self._crashes.suspect(suspicion)
-            case _:
-                return
-
     async def _serve(self, job: ActiveRequest, responder: Responder) -> Failure | None:
         now_s = self._clock()
         self._retries.count_request(job, now_s=now_s)
@@ -236,6 +217,10 @@
         )
         while True:
             choice = await self._wait_for_upstream(job)
+            refused = self._crash_policy.refusal_before_send(job)
+            if refused is not None:
+                writer.discard_partial_event()
+                return await self._give_up(job, responder, refused)
             if choice is None:
                 return await self._handle_no_upstream(job, responder, writer)
             outcome = await self._send_once(job, choice, writer, inputs)
@@ -332,7 +317,9 @@
         self._log.exchange_ended(
             job, upstream_id, outcome, writer, ejected=ejected, now_s=now_s
         )
-        self._suspect_crash(job, choice, outcome)
+        suspicion = self._crash_policy.suspect(
+            job, choice.upstream.registration, outcome
+        )
         match outcome:
             case NotSent():
                 job.unreachable.add(upstream_id)
@@ -351,18 +338,24 @@
                 ):
                     job.fallback_answer = outcome
                     return _RETRY
+                if head.status < _SERVER_ERROR:
+                    self._crash_policy.complete(job, sent_at_s=writer.sent_at_s)
                 await _deliver(responder, outcome)
                 return None
             case StreamEnded(complete=True):
+                self._crash_policy.complete(job, sent_at_s=writer.sent_at_s)
                 await writer.finish()
                 return None
             case Broken() | Silent() | StreamEnded():
                 job.tried.add(upstream_id)
                 job.verdict = Verdict.MAY_HAVE_RUN
                 writer.discard_partial_event()
-                if self._retries.may_retry_after_execution(job, now_s=now_s):
+                failure = broken_failure(outcome)
+                if await self._crash_policy.forbids_retry(job, suspicion):
+                    return await self._give_up(job, responder, failure)
+                if self._retries.may_retry_after_execution(job, now_s=self._clock()):
                     return _RETRY
-                return await self._give_up(job, responder, broken_failure(outcome))
+                return await self._give_up(job, responder, failure)
             case _:
                 assert_never(outcome)
 
--- a/galenashift/gateway/_request.py
+++ b/galenashift/gateway/_request.py
@@ -15,6 +15,7 @@
     Route,
     RoutingConfig,
     ServiceName,
+    SuspectId,
     UpstreamId,
     Verdict,
     not_run,
@@ -24,6 +25,7 @@
 from ._caller import CallerRequest
 from ._crashes import fingerprint
 from ._exchange import Answered
+from ._suspects import part_suspects, request_suspect
 
 #: Time before the route's timeout at which the daemon answers itself, in seconds.
 _TIMEOUT_MARGIN_S = 0.03
@@ -53,6 +55,8 @@
     #: Upstreams to which the request could not be sent.
     unreachable: set[UpstreamId] = field(default_factory=set)
     verdict: Verdict = Verdict.NOT_RUN
+    #: Whether it is sent in spite of a quarantine, to find out whether that is right.
+    on_trial: bool = False
     #: Whether an exchange is in progress whose outcome is not known yet.
     in_flight: bool = False
     #: Server error of an upstream, delivered if the retry does not succeed.
@@ -86,6 +90,16 @@
             body=self.request.body,
         )
 
+    @cached_property
+    def part_suspects(self) -> Mapping[SuspectId, int]:
+        """Prompt parts that may crash an upstream, with their positions."""
+        return part_suspects(self.fields.prompt_parts)
+
+    @cached_property
+    def suspects(self) -> Mapping[SuspectId, int]:
+        """All that may crash an upstream, with depths: prompt parts and the request."""
+        return {**self.part_suspects, **request_suspect(self.fingerprint)}
+
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have executed the request or may be executing it."""
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -6,7 +6,6 @@
 from galenashift.model import (
     DaemonId,
     FailureDomainName,
-    Fingerprint,
     InstanceState,
     RegisteredUpstream,
     RoutingConfig,
@@ -14,23 +13,26 @@
     UpstreamId,
 )
 from galenashift.platform import (
+    CLEARED_PREFIX,
     CONFIG_KEY,
     CRASH_PREFIX,
     DAEMON_PREFIX,
     EVACUATION_PREFIX,
     UPSTREAM_PREFIX,
-    CrashReport,
     Deletion,
     Item,
     PeerAddress,
     RecordError,
     Snapshot,
+    decode_cleared,
     decode_config,
     decode_crash,
+    decode_crash_id,
     decode_daemon,
     decode_evacuated,
     decode_upstream,
 )
+from galenashift.retries import CRASH_LIFETIME_S, CrashEvidence, QuarantineChanges
 
 #: Grace period after an outage of the store in which registrations that expired during
 #: it may be renewed, in seconds.
@@ -66,8 +68,8 @@
         self.config: RoutingConfig | None = None
         self.evacuated: set[FailureDomainName] = set()
         self.peers_by_id: dict[DaemonId, PeerAddress] = {}
-        #: Attempts that were in flight when an upstream crashed, by request.
-        self.crashes_by_request: dict[Fingerprint, set[str]] = {}
+        #: Crashes that daemons have reported, and what they quarantine.
+        self.crash_evidence = CrashEvidence()
         self._upstreams_by_id: dict[UpstreamId, KnownUpstream] = {}
         self._ids_by_service: dict[ServiceName, set[UpstreamId]] = {}
         self._lapses_at_s: dict[UpstreamId, float] = {}
@@ -169,8 +171,8 @@
         for domain in list(self.evacuated):
             if EVACUATION_PREFIX + domain not in keys:
                 self._end_evacuation(domain)
-        self.crashes_by_request.clear()
-        for item in snapshot.items:
+        # A suspect is cleared of the crashes that were reported before.
+        for item in sorted(snapshot.items, key=lambda item: item.revision):
             self._apply_item(item, now_s)
 
     def apply(self, change: Item | Deletion, *, now_s: float) -> None:
@@ -195,7 +197,9 @@
             elif item.key.startswith(DAEMON_PREFIX):
                 self._put_peer(*decode_daemon(key=item.key, value=item.value))
             elif item.key.startswith(CRASH_PREFIX):
-                self._put_crash(decode_crash(item.key))
+                self._put_crash(item, now_s)
+            elif item.key.startswith(CLEARED_PREFIX):
+                self._put_cleared(item, now_s)
         except RecordError as error:
             self._report("record-unreadable", {"key": item.key, "detail": error})
 
@@ -246,22 +250,46 @@
         if self.peers_by_id.pop(daemon_id, None) is not None:
             self._report("peer-removed", {"peer": daemon_id})
 
-    def _put_crash(self, crash: CrashReport) -> None:
-        attempts = self.crashes_by_request.setdefault(crash.fingerprint, set())
-        attempts.add(crash.attempt_id)
-        fields = {"fingerprint": crash.fingerprint, "crashes": len(attempts)}
+    def _put_crash(self, item: Item, now_s: float) -> None:
+        report = decode_crash(key=item.key, value=item.value)
+        fields = {
+            "crash": report.crash_id,
+            "reporter": report.reporter,
+            "suspects": ",".join(report.suspects.not_begun),
+            "begun": ",".join(report.suspects.begun),
+        }
         self._report("crash-reported", fields)
+        changes = self.crash_evidence.record_crash(
+            report.crash_id, report.suspects, now_s=now_s
+        )
+        self.crash_evidence.record_stored(
+            report.crash_id, until_s=now_s + CRASH_LIFETIME_S
+        )
+        self.report_quarantines(changes)
+
+    def _put_cleared(self, item: Item, now_s: float) -> None:
+        suspect = decode_cleared(key=item.key, value=item.value)
+        self._report("suspect-cleared", {"suspect": suspect})
+        self.report_quarantines(
+            self.crash_evidence.record_cleared(suspect, now_s=now_s)
+        )
+
+    def report_quarantines(self, changes: QuarantineChanges) -> None:
+        """Report which suspects are quarantined from now on, and which no longer."""
+        for quarantine in changes.begun:
+            fields = {"suspect": quarantine.suspect, "crashes": quarantine.crashes}
+            self._report("quarantine-begun", fields)
+        for suspect in changes.lifted:
+            self._report("quarantine-lifted", {"suspect": suspect})
 
     def _remove_crash(self, key: str) -> None:
+        """Note that the store holds a report no longer; it stays known here."""
         try:
-            crash = decode_crash(key)
+            crash_id = decode_crash_id(key)
         except RecordError as error:
             self._report("record-unreadable", {"key": key, "detail": error})
             return
-        attempts = self.crashes_by_request.get(crash.fingerprint, set())
-        attempts.discard(crash.attempt_id)
-        if not attempts:
-            self.crashes_by_request.pop(crash.fingerprint, None)
+        self.crash_evidence.record_stored(crash_id, until_s=0.0)
 
     def _put_upstream(self, item: Item, now_s: float) -> None:
         upstream_id = UpstreamId(item.key.removeprefix(UPSTREAM_PREFIX))
--- a/galenashift/gateway/tests/relay_fakes.py
+++ b/galenashift/gateway/tests/relay_fakes.py
@@ -27,6 +27,7 @@
 from galenashift.gateway.tests.test_view import item, upstream_item
 from galenashift.model import AnswerFields, DaemonId, FailureDomainName, Handle
 from galenashift.platform import Bounds, Snapshot, StoreRevision
+from galenashift.retries import Quarantine
 from galenashift.telemetry import EventLog, Metrics
 
 _BOUNDS = Bounds(
@@ -164,17 +165,37 @@
 
 
 class FakeCrashes:
-    """Quarantines all requests or none, and records suspected crashes."""
+    """Quarantines requests, and records suspected crashes and completions.
 
-    def __init__(self, *, quarantined=False):
-        self.has_no_crashes = not quarantined
+    :param admits: Number of checks after which requests are quarantined.
+    :param suspected: Whether one more crash could quarantine any request.
+    """
+
+    def __init__(self, *, admits=1_000, suspected=False):
+        self.has_crashes = True
+        self.admits = admits
+        self.suspected = suspected
         self.suspicions = []
+        self.completed = []
+
+    def admit(self, suspects):
+        return self.find_quarantine(suspects)
 
-    def is_quarantined(self, request):
-        return not self.has_no_crashes
+    def find_quarantine(self, suspects):
+        self.admits -= 1
+        if self.admits >= 0:
+            return None
+        return Quarantine(suspect=next(iter(suspects)), crashes=3, last_crash_at_s=0.0)
+
+    def is_suspected(self, suspects):
+        return self.suspected
 
     def suspect(self, suspicion):
         self.suspicions.append(suspicion)
+        suspicion.examined.set()
+
+    def complete(self, suspects, *, sent_at_s):
+        self.completed.append(set(suspects))
 
 
 def serve(
--- a/galenashift/gateway/tests/test_crashes.py
+++ b/galenashift/gateway/tests/test_crashes.py
@@ -1,15 +1,17 @@
 """Detection and quarantine of requests that crash upstreams."""
 
+from random import Random
+
 import trio
+import trio.testing
 
-from galenashift.gateway._crashes import (
-    MAX_CRASHES,
-    CrashGuard,
-    Suspicion,
-    fingerprint,
-)
+from galenashift.gateway._crash_reports import CrashReporter
+from galenashift.gateway._crashes import CrashGuard, Suspicion, Trial, fingerprint
 from galenashift.gateway._view import PlatformView
+from galenashift.gateway.tests.test_view import upstream_item
 from galenashift.model import (
+    CrashSuspects,
+    DaemonId,
     FailureDomainName,
     InstanceState,
     OrganisationId,
@@ -17,8 +19,19 @@
     ServiceName,
     UpstreamId,
 )
-from galenashift.platform import Deletion, Item, LeaseId, StoreRevision
-from galenashift.telemetry import EventLog
+from galenashift.platform import (
+    Deletion,
+    Item,
+    LeaseId,
+    PeerAddress,
+    Snapshot,
+    StoreFailure,
+    StoreProblem,
+    StoreRevision,
+)
+from galenashift.platform._settings import Address
+from galenashift.retries import Quarantine
+from galenashift.telemetry import EventLog, Metrics
 
 
 def new_fingerprint(**changes):
@@ -46,38 +59,63 @@
 
 
 class SharedStore:
-    """Applies each record to the views of all daemons immediately."""
+    """Applies each record to the views of all daemons immediately.
+
+    :param failures: Failures of the next writes, in order.
+    """
 
-    def __init__(self, *views):
+    def __init__(self, *views, failures=()):
         self.views = views
-        self.keys = []
+        self.failures = list(failures)
+        self.items_by_key = {}
+        self.writes = 0
 
     async def grant_lease(self, *, lifetime_s):
         return LeaseId(1)
 
-    async def put(self, *, key, value, lease):
-        self.keys.append(key)
-        item = Item(key=key, value=value, revision=StoreRevision(1))
-        for view in self.views:
-            view.apply(item, now_s=0.0)
-        return StoreRevision(1)
+    async def put_all(self, value_by_key, *, lease):
+        if self.failures:
+            return self.failures.pop(0)
+        self.writes += 1
+        for key, value in value_by_key.items():
+            item = Item(key=key, value=value, revision=StoreRevision(self.writes))
+            self.items_by_key[key] = item
+            for view in self.views:
+                view.apply(item, now_s=trio.current_time())
+        return StoreRevision(self.writes)
 
 
-def new_view():
-    return PlatformView(report=lambda name, fields: None)
+UNREACHABLE = StoreFailure(
+    problem=StoreProblem.UNREACHABLE, detail="down", may_have_run=True
+)
+
 
+def new_view(*upstream_ids):
+    view = PlatformView(report=lambda name, fields: None)
+    items = [upstream_item(each) for each in upstream_ids]
+    view.apply_snapshot(
+        Snapshot(items=tuple(items), revision=StoreRevision(1)), now_s=0.0
+    )
+    return view
 
-def new_guard(store, view):
+
+def new_guard(store, view, *, name="d1"):
+    events = EventLog(level="error")
     return CrashGuard(
-        store=store,
-        reports=lambda: view.crashes_by_request,
-        events=EventLog(level="error"),
+        daemon_id=DaemonId(name),
+        view=view,
+        reporter=CrashReporter(
+            store=store, events=events, random=Random(1), clock=trio.current_time
+        ),
+        events=events,
+        metrics=Metrics(),
+        clock=trio.current_time,
     )
 
 
-def upstream_at(port):
+def upstream_at(port, *, name="u1"):
     return RegisteredUpstream(
-        upstream_id=UpstreamId("u1"),
+        upstream_id=UpstreamId(name),
         service=ServiceName("pool"),
         host="127.0.0.1",
         port=port,
@@ -88,17 +126,26 @@
     )
 
 
-async def report_suspicions(guard, attempts, port):
+SUSPECTS = {"part:sys": 0, "part:dead": 1}
+
+
+def suspicion_of(upstream, *, begun=False):
+    return Suspicion(
+        attempt_id="a1",
+        upstream=upstream,
+        suspects=CrashSuspects(
+            not_begun={} if begun else SUSPECTS, begun=SUSPECTS if begun else {}
+        ),
+    )
+
+
+async def run_guard(guard, *upstreams, for_s=0.4):
+    """Report a suspected crash of each upstream, and run the guard for some time."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(guard.run)
-        for attempt in attempts:
-            suspicion = Suspicion(
-                fingerprint=new_fingerprint(),
-                attempt_id=attempt,
-                upstream=upstream_at(port),
-            )
-            guard.suspect(suspicion)
-        await trio.sleep(0.3)
+        for upstream in upstreams:
+            guard.suspect(suspicion_of(upstream))
+        await trio.sleep(for_s)
         nursery.cancel_scope.cancel()
 
 
@@ -109,19 +156,47 @@
     return port
 
 
-def test_crashes_at_several_daemons_quarantine_the_request_at_all():
-    # Otherwise the caller could send the request again through another daemon.
+UPSTREAMS = ("u0", "u1", "u2")
+
+
+def test_crashes_at_several_daemons_quarantine_the_part_at_all():
+    # Otherwise requests with it would crash upstreams through another daemon.
     async def run():
-        views = [new_view(), new_view()]
+        views = [new_view(*UPSTREAMS), new_view(*UPSTREAMS)]
         store = SharedStore(*views)
-        guards = [new_guard(store, view) for view in views]
+        guards = [new_guard(store, view, name=f"d{i}") for i, view in enumerate(views)]
+        port = await free_port()
+        await run_guard(guards[0], *(upstream_at(port, name=f"u{i}") for i in range(2)))
+        assert guards[1].find_quarantine(SUSPECTS) is None
+        assert guards[1].is_suspected(SUSPECTS)
+        await run_guard(guards[1], upstream_at(port, name="u2"))
+        for guard in guards:
+            assert guard.find_quarantine(SUSPECTS).suspect == "part:dead"
+            assert guard.find_quarantine({"part:sys": 0}) is None
+
+    trio.run(run)
+
+
+def test_daemon_that_starts_learns_the_quarantine_from_the_listing():
+    # It would send such requests until upstreams had crashed again. The listing is
+    # sorted by key, so that the report that clears a part comes before the crashes.
+    async def run():
+        view = new_view(*UPSTREAMS)
+        store = SharedStore(view)
+        guard = new_guard(store, view)
         port = await free_port()
-        await report_suspicions(guards[0], ["a1", "a2"], port)
-        assert not guards[1].is_quarantined(new_fingerprint())
-        await report_suspicions(guards[1], ["a3"], port)
-        assert all(guard.is_quarantined(new_fingerprint()) for guard in guards)
-        assert not guards[0].is_quarantined(new_fingerprint(body=b"other"))
-        assert len(store.keys) == MAX_CRASHES
+        await run_guard(guard, *(upstream_at(port, name=each) for each in UPSTREAMS))
+        guard.complete({"part:sys": 0}, sent_at_s=trio.current_time())
+        await run_guard(guard)
+        assert any(key.startswith("cleared/") for key in store.items_by_key)
+        started = PlatformView(report=lambda name, fields: None)
+        items = tuple(sorted(store.items_by_key.values(), key=lambda item: item.key))
+        snapshot = Snapshot(items=items, revision=StoreRevision(9))
+        started.apply_snapshot(snapshot, now_s=trio.current_time())
+        assert [each.suspect for each in started.crash_evidence.quarantines] == [
+            "part:dead"
+        ]
+        assert not started.crash_evidence.is_suspected(["part:sys"])
 
     trio.run(run)
 
@@ -130,23 +205,94 @@
     # If upstreams that reset connections counted as crashed, all requests would be
     # quarantined while answers are lost in the network.
     async def run():
-        view = new_view()
+        view = new_view(*UPSTREAMS)
         store = SharedStore(view)
         guard = new_guard(store, view)
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listener.socket.getsockname()[1]
-        await report_suspicions(guard, [f"a{i}" for i in range(5)], port)
-        assert guard.has_no_crashes
-        assert store.keys == []
+        await run_guard(guard, *(upstream_at(port, name=each) for each in UPSTREAMS))
+        assert not guard.has_crashes
+        assert store.items_by_key == {}
         await listener.aclose()
 
     trio.run(run)
 
 
-def test_deleted_crash_report_is_forgotten():
+def test_end_of_an_upstream_that_has_left_is_not_a_crash():
+    # Upstreams that are replaced cut what they have not finished when they exit.
+    async def run():
+        view = new_view()
+        guard = new_guard(SharedStore(view), view)
+        port = await free_port()
+        await run_guard(guard, *(upstream_at(port, name=each) for each in UPSTREAMS))
+        assert not guard.has_crashes
+
+    trio.run(run)
+
+
+def test_report_is_written_once_the_store_is_back():
+    # A report that was lost in an outage is missing at all other daemons.
+    async def run():
+        views = [new_view(*UPSTREAMS), new_view(*UPSTREAMS)]
+        store = SharedStore(*views, failures=[UNREACHABLE] * 3)
+        guard = new_guard(store, views[0])
+        port = await free_port()
+        await run_guard(
+            guard, *(upstream_at(port, name=each) for each in UPSTREAMS), for_s=4.0
+        )
+        assert [each.suspect for each in views[1].crash_evidence.quarantines] == [
+            "part:dead"
+        ]
+
+    trio.run(run)
+
+
+def test_refused_requests_keep_the_quarantine_in_the_store():
+    # Leases of reports lapse in some outages, and a daemon that starts after one must
+    # know the quarantine.
+    async def run():
+        view = new_view(*UPSTREAMS)
+        store = SharedStore(view)
+        guard = new_guard(store, view)
+        port = await free_port()
+        await run_guard(guard, *(upstream_at(port, name=each) for each in UPSTREAMS))
+        for key in list(store.items_by_key):
+            del store.items_by_key[key]
+            view.apply(Deletion(key=key, revision=StoreRevision(8)), now_s=0.0)
+        assert isinstance(guard.admit(SUSPECTS), Quarantine)
+        await run_guard(guard)
+        assert len(store.items_by_key) == len(UPSTREAMS)
+
+    trio.run(run)
+
+
+def test_one_daemon_tries_a_quarantined_part_after_a_while():
+    # A part that is quarantined by mistake would be refused for good; trials at all
+    # daemons would crash as many upstreams.
+    async def run():
+        views = [new_view(*UPSTREAMS), new_view(*UPSTREAMS)]
+        store = SharedStore(*views)
+        guards = [new_guard(store, view, name=f"d{i}") for i, view in enumerate(views)]
+        peer = PeerAddress(address=Address(host="10.0.0.1", port=1), capacity=1.0)
+        for view in views:
+            view.peers_by_id.update({"d0": peer, "d1": peer})
+        for name in UPSTREAMS:
+            suspects = CrashSuspects(not_begun=SUSPECTS, begun={})
+            for view in views:
+                view.crash_evidence.record_crash(
+                    name, suspects, now_s=trio.current_time()
+                )
+        assert all(isinstance(each.admit(SUSPECTS), Quarantine) for each in guards)
+        await trio.sleep(61.0)
+        verdicts = [guard.admit(SUSPECTS) for guard in guards for _ in range(2)]
+        assert sum(isinstance(each, Trial) for each in verdicts) == 1
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_report_that_cannot_be_decoded_is_ignored():
     view = new_view()
-    key = f"crashes/{new_fingerprint()}/a1"
-    view.apply(Item(key=key, value=b"{}", revision=StoreRevision(1)), now_s=0.0)
-    assert view.crashes_by_request
-    view.apply(Deletion(key=key, revision=StoreRevision(2)), now_s=0.0)
-    assert not view.crashes_by_request
+    for value in (b"{}", b"[]", b'{"not_begun": {"a": -1}, "begun": {}}'):
+        item = Item(key="crashes/c/d", value=value, revision=StoreRevision(1))
+        view.apply(item, now_s=0.0)
+    assert not view.crash_evidence.has_crashes
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -173,11 +173,26 @@
 
 def test_quarantined_request_is_not_sent():
     # Each further attempt could crash another upstream.
-    exchanger, responder = serve(
-        "read", answered(200), crashes=FakeCrashes(quarantined=True)
-    )
+    exchanger, responder = serve("read", answered(200), crashes=FakeCrashes(admits=0))
     assert exchanger.requests == []
     assert responder.status == 503
+    assert b"not-run" in responder.body
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "status", "verdict"),
+    [((), 503, b"not-run"), ((REFUSED,), 503, b"not-run"), ((BROKEN,), 502, b"may")],
+)
+def test_quarantine_that_begins_before_a_send_refuses_the_request(
+    outcomes, status, verdict
+):
+    # Stages take a second; a quarantine that begins meanwhile was not looked at. After
+    # a send whose outcome is unknown, the refusal must not say that nothing ran.
+    crashes = FakeCrashes(admits=1 + len(outcomes))
+    exchanger, responder = serve("read", *outcomes, answered(200), crashes=crashes)
+    assert len(exchanger.requests) == len(outcomes)
+    assert responder.status == status
+    assert verdict in responder.body
 
 
 def test_reset_connection_reports_a_suspected_crash():
@@ -188,6 +203,49 @@
     assert len(crashes.suspicions) == 1
 
 
+PARTS = ((b"galenashift-prefix-hash", b"sys:9,user:9,own:1"),)
+
+
+@pytest.mark.parametrize("begun", [False, True])
+def test_suspects_are_the_shared_prompt_parts_and_the_request(begun):
+    # The last part belongs to the request itself. A stream that had begun is weaker
+    # evidence, as upstreams crash when they begin to execute the cause.
+    crashes = FakeCrashes()
+    outcome = StreamEnded(complete=False, started=True, detail="closed")
+    serve("stream", outcome if begun else BROKEN, crashes=crashes, headers=PARTS)
+    (suspicion,) = crashes.suspicions
+    suspects = suspicion.suspects.begun if begun else suspicion.suspects.not_begun
+    assert list(suspects)[:2] == ["part:sys", "part:user"]
+    assert [each.partition(":")[0] for each in suspects] == ["part", "part", "request"]
+    other = suspicion.suspects.not_begun if begun else suspicion.suspects.begun
+    assert not other
+
+
+@pytest.mark.parametrize(
+    ("outcome", "completed"),
+    [
+        (StreamEnded(complete=True, started=True, detail=""), 1),
+        (StreamEnded(complete=False, started=True, detail=""), 0),
+        (answered(500), 0),
+        (REFUSED, 0),
+    ],
+)
+def test_only_a_complete_answer_clears_the_parts_of_its_request(outcome, completed):
+    # An upstream can crash after the first events of an answer.
+    crashes = FakeCrashes()
+    serve("stream", outcome, REFUSED, crashes=crashes, headers=PARTS)
+    assert len(crashes.completed) == completed
+
+
+def test_request_that_could_crash_another_upstream_is_not_repeated():
+    # The repeats of one request with a deadly part crashed two upstreams.
+    exchanger, responder = serve(
+        "read", BROKEN, answered(200), crashes=FakeCrashes(suspected=True)
+    )
+    assert len(exchanger.requests) == 1
+    assert responder.status == 502
+
+
 def test_unsent_request_is_refused_before_the_process_ends():
     # The connection of a request that waited for its stages was closed without an
     # answer when the daemon exited after SIGTERM.
--- a/galenashift/model/__init__.py
+++ b/galenashift/model/__init__.py
@@ -1,6 +1,7 @@
 """Shared types: identifiers, verdicts, failures, messages, package interfaces."""
 
 from ._clock import boot_time_s, wall_time_s
+from ._crash import CrashSuspects, DepthBySuspect
 from ._failure import Failure, Reason, may_have_run, not_run
 from ._gateway import (
     DEFAULT_RANK,
@@ -25,6 +26,7 @@
 from ._ids import (
     AttemptId,
     ConfigVersion,
+    CrashId,
     DaemonId,
     ExchangeId,
     FailureDomainName,
@@ -38,6 +40,7 @@
     RegionName,
     RequestId,
     StageName,
+    SuspectId,
     UpstreamId,
     new_time_ordered_id,
     wall_time_of_id,
@@ -103,7 +106,10 @@
     "Changes",
     "ConfigVersion",
     "CrashGuard",
+    "CrashId",
+    "CrashSuspects",
     "DaemonId",
+    "DepthBySuspect",
     "Entry",
     "EventField",
     "EventKind",
@@ -163,6 +169,7 @@
     "StreamEnd",
     "StreamItem",
     "SuspectClaim",
+    "SuspectId",
     "Token",
     "Upstream",
     "UpstreamCalls",
--- /dev/null
+++ b/galenashift/model/_crash.py
@@ -0,0 +1,32 @@
+"""What was in flight at a crash of an upstream."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ._ids import SuspectId
+
+#: Suspects with their depths. The depth of a prompt part is its position in the prompt,
+#: and the digest of the whole request is deeper than all parts.
+DepthBySuspect = Mapping[SuspectId, int]
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrashSuspects:
+    """What was in flight at a crash, with depths, see `DepthBySuspect`."""
+
+    #: Suspects in requests of which the upstream had sent no whole event.
+    not_begun: DepthBySuspect
+    #: Suspects in requests of which it had sent some.
+    begun: DepthBySuspect
+
+    @property
+    def ids(self) -> tuple[SuspectId, ...]:
+        """All suspects."""
+        return (*self.not_begun, *self.begun)
+
+    def merged(self, other: "CrashSuspects") -> "CrashSuspects":
+        """Return the suspects of both."""
+        return CrashSuspects(
+            not_begun={**self.not_begun, **other.not_begun},
+            begun={**self.begun, **other.begun},
+        )
--- a/galenashift/model/_ids.py
+++ b/galenashift/model/_ids.py
@@ -19,6 +19,8 @@
 ConfigVersion = NewType("ConfigVersion", int)
 PlanId = NewType("PlanId", str)
 Fingerprint = NewType("Fingerprint", str)
+CrashId = NewType("CrashId", str)
+SuspectId = NewType("SuspectId", str)
 
 _UUID7_VERSION = 0x7
 _RFC_VARIANT = 0b10
--- a/galenashift/platform/__init__.py
+++ b/galenashift/platform/__init__.py
@@ -4,6 +4,19 @@
 fields, headers and paths occur in this package only, and it makes no decisions.
 """
 
+from ._crash_records import (
+    CLEARED_PREFIX,
+    CRASH_PREFIX,
+    CrashReport,
+    cleared_key,
+    crash_id_of,
+    crash_key,
+    decode_cleared,
+    decode_crash,
+    decode_crash_id,
+    encode_cleared,
+    encode_crash,
+)
 from ._headers import (
     MAX_PIECES,
     HeaderError,
@@ -18,22 +31,17 @@
 )
 from ._records import (
     CONFIG_KEY,
-    CRASH_PREFIX,
     DAEMON_PREFIX,
     EVACUATION_PREFIX,
     OPERATOR_PREFIX,
     UPSTREAM_PREFIX,
-    CrashReport,
     PeerAddress,
     RecordError,
-    crash_key,
     daemon_key,
     decode_config,
-    decode_crash,
     decode_daemon,
     decode_evacuated,
     decode_upstream,
-    encode_crash,
     encode_daemon,
 )
 from ._settings import (
@@ -56,6 +64,7 @@
     handle_address,
 )
 from ._store import (
+    MAX_RECORDS_PER_WRITE,
     ChangeSet,
     Deletion,
     Item,
@@ -68,12 +77,14 @@
 )
 
 __all__ = [
+    "CLEARED_PREFIX",
     "CONFIG_KEY",
     "CRASH_PREFIX",
     "DAEMON_PREFIX",
     "EVACUATION_PREFIX",
     "FREE_PATH",
     "MAX_PIECES",
+    "MAX_RECORDS_PER_WRITE",
     "OPERATOR_PREFIX",
     "RUN_PATH",
     "SETTINGS_PATH_VARIABLE",
@@ -99,17 +110,22 @@
     "StoreFailure",
     "StoreProblem",
     "StoreRevision",
+    "cleared_key",
+    "crash_id_of",
     "crash_key",
     "daemon_key",
     "decode_answer",
+    "decode_cleared",
     "decode_config",
     "decode_crash",
+    "decode_crash_id",
     "decode_daemon",
     "decode_evacuated",
     "decode_request",
     "decode_run",
     "decode_upstream",
     "encode_answer",
+    "encode_cleared",
     "encode_crash",
     "encode_daemon",
     "encode_free",
--- /dev/null
+++ b/galenashift/platform/_crash_records.py
@@ -0,0 +1,119 @@
+"""Records in the platform's store on crashes of upstreams and their suspects."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from galenashift.model import (
+    CrashId,
+    CrashSuspects,
+    DaemonId,
+    RegisteredUpstream,
+    SuspectId,
+)
+
+from ._decoding import DECODING_ERRORS, decode_json, to_integer, to_text
+from ._records import RecordError
+
+CRASH_PREFIX = "crashes/"
+CLEARED_PREFIX = "cleared/"
+#: Most suspects that a report may name.
+_MAX_SUSPECTS = 1_000
+#: Largest position of a suspect in a request.
+_MAX_DEPTH = 1_000_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrashReport:
+    """A daemon's report on a crash of an upstream."""
+
+    crash_id: CrashId
+    #: Daemon that reports.
+    reporter: DaemonId
+    #: Suspects in its requests that were in flight, with their depths.
+    suspects: CrashSuspects
+
+
+def crash_id_of(upstream: RegisteredUpstream) -> CrashId:
+    """Return the id of the crash of an incarnation, the same at all daemons."""
+    incarnation = f"{upstream.upstream_id}/{upstream.started_at_ms}"
+    return CrashId(_digest(incarnation))
+
+
+def crash_key(report: CrashReport) -> str:
+    """Return the key under which a crash report is stored."""
+    return f"{CRASH_PREFIX}{report.crash_id}/{report.reporter}"
+
+
+def encode_crash(report: CrashReport) -> bytes:
+    """Encode the value of a crash report."""
+    suspects = report.suspects
+    record = {"not_begun": suspects.not_begun, "begun": suspects.begun}
+    return json.dumps(record).encode()
+
+
+def decode_crash_id(key: str) -> CrashId:
+    """Return the crash that a key is about.
+
+    :raises RecordError: If the key is not that of a crash report.
+    """
+    crash_id, _, reporter = key.removeprefix(CRASH_PREFIX).partition("/")
+    if not reporter:
+        raise RecordError(f"{key} is not the key of a crash report")
+    return CrashId(crash_id)
+
+
+def decode_crash(*, key: str, value: bytes) -> CrashReport:
+    """Decode a crash report.
+
+    :raises RecordError: If the key or the value is malformed.
+    """
+    crash_id = decode_crash_id(key)
+    try:
+        data = decode_json(value)
+        suspects = CrashSuspects(
+            not_begun=_parse_suspects(data["not_begun"]),
+            begun=_parse_suspects(data["begun"]),
+        )
+    except DECODING_ERRORS as error:
+        raise RecordError(f"crash report {key} is malformed: {error!r:.300}") from error
+    return CrashReport(
+        crash_id=crash_id,
+        reporter=DaemonId(key.rpartition("/")[2]),
+        suspects=suspects,
+    )
+
+
+def _parse_suspects(data: Mapping[str, object]) -> dict[SuspectId, int]:
+    if len(data) > _MAX_SUSPECTS:
+        raise ValueError(f"{len(data)} suspects")
+    return {
+        SuspectId(to_text(suspect)): to_integer(depth, maximum=_MAX_DEPTH)
+        for suspect, depth in data.items()
+    }
+
+
+def cleared_key(suspect: SuspectId) -> str:
+    """Return the key under which a suspect is stored as cleared."""
+    return CLEARED_PREFIX + _digest(suspect)
+
+
+def encode_cleared(suspect: SuspectId) -> bytes:
+    """Encode that a suspect was cleared."""
+    return json.dumps({"suspect": suspect}).encode()
+
+
+def decode_cleared(*, key: str, value: bytes) -> SuspectId:
+    """Decode that a suspect was cleared.
+
+    :raises RecordError: If the value is malformed.
+    """
+    try:
+        return SuspectId(to_text(decode_json(value)["suspect"]))
+    except DECODING_ERRORS as error:
+        raise RecordError(f"record {key} is malformed: {error!r:.300}") from error
+
+
+def _digest(text: str) -> str:
+    return blake2b(text.encode(), digest_size=12).hexdigest()
--- a/galenashift/platform/_records.py
+++ b/galenashift/platform/_records.py
@@ -1,4 +1,4 @@
-"""Records in the platform's store: configuration, registrations and crash reports."""
+"""Records in the platform's store: configuration and registrations."""
 
 import json
 from collections.abc import Iterable, Mapping, Sequence
@@ -10,7 +10,6 @@
     ConfigVersion,
     DaemonId,
     FailureDomainName,
-    Fingerprint,
     InstanceState,
     Organisation,
     OrganisationId,
@@ -41,7 +40,6 @@
 EVACUATION_PREFIX = "op/evacuate/"
 UPSTREAM_PREFIX = "servers/"
 DAEMON_PREFIX = "daemons/"
-CRASH_PREFIX = "crashes/"
 
 _KIND_BY_NAME = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -84,37 +82,6 @@
     capacity: float
 
 
-@dataclass(frozen=True, kw_only=True)
-class CrashReport:
-    """A report that an upstream crashed while it executed a request."""
-
-    #: Identifies the request in all its attempts.
-    fingerprint: Fingerprint
-    #: Attempt that was in flight at the crash.
-    attempt_id: str
-
-
-def crash_key(report: CrashReport) -> str:
-    """Return the key under which a crash report is stored."""
-    return f"{CRASH_PREFIX}{report.fingerprint}/{report.attempt_id}"
-
-
-def encode_crash() -> bytes:
-    """Encode a crash report. The key holds all data; the value is ``{}``."""
-    return b"{}"
-
-
-def decode_crash(key: str) -> CrashReport:
-    """Decode a crash report from its key.
-
-    :raises RecordError: If the key is not that of a crash report.
-    """
-    request, _, attempt_id = key.removeprefix(CRASH_PREFIX).partition("/")
-    if not attempt_id:
-        raise RecordError(f"{key} is not the key of a crash report")
-    return CrashReport(fingerprint=Fingerprint(request), attempt_id=attempt_id)
-
-
 def decode_config(value: bytes) -> RoutingConfig:
     """Decode a version of the routing configuration.
 
--- a/galenashift/platform/_store.py
+++ b/galenashift/platform/_store.py
@@ -21,6 +21,8 @@
 CALL_TIMEOUT_S = 1.0
 #: Time in addition to the wait of a watch after which it times out, in seconds.
 WATCH_MARGIN_S = 0.6
+#: Most records that one call may write.
+MAX_RECORDS_PER_WRITE = 32
 
 _OK = 200
 _NOT_FOUND = 404
@@ -170,12 +172,25 @@
 
         :returns: Revision of the write.
         """
-        put = {
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-            "lease": lease,
-        }
-        answer = await self._post("kv-txn", {"expected": [], "puts": [put]})
+        return await self.put_all({key: value}, lease=lease)
+
+    async def put_all(
+        self, value_by_key: Mapping[str, bytes], *, lease: LeaseId
+    ) -> StoreRevision | StoreFailure:
+        """Write records, all or none, that are deleted when their lease ends.
+
+        :param value_by_key: At most `MAX_RECORDS_PER_WRITE` records.
+        :returns: Revision of the write.
+        """
+        puts = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "lease": lease,
+            }
+            for key, value in value_by_key.items()
+        ]
+        answer = await self._post("kv-txn", {"expected": [], "puts": puts})
         if isinstance(answer, StoreFailure):
             return answer
         number = _parse_integer(answer, "rev")
--- /dev/null
+++ b/galenashift/retries/_crash_evidence.py
@@ -0,0 +1,308 @@
+"""Evidence of all daemons on crashes, and the quarantine of what causes them.
+
+Nothing here does input or output, and the time is an argument.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from math import inf
+
+from galenashift.model import CrashId, CrashSuspects, DepthBySuspect, SuspectId
+
+from ._crash_causes import CRASHES_OF_CAUSE, find_causes
+
+#: Time for which a crash is remembered after it, and after the last request with its
+#: cause, in seconds.
+CRASH_LIFETIME_S = 600.0
+#: Crashes from which a cause is not tried again while requests with it come.
+_MAX_TRIED_CRASHES = 5
+#: Time from the last crash of a cause to its first trial, in seconds; it doubles with
+#: each further crash.
+_TRIAL_DELAY_S = 60.0
+#: Time for which a completed request counts in favour of its suspects, in seconds.
+_PROVEN_S = 30.0
+#: Crashes of a suspect from which other daemons are told that it was cleared.
+_CRASHES_TO_REPORT_CLEARED = CRASHES_OF_CAUSE - 1
+#: Time within which a report is expected to be stored, in seconds.
+_STORE_WAIT_S = 5.0
+#: Crashes that are remembered; the oldest is dropped.
+_MAX_CRASHES = 256
+#: Suspects whose completions are remembered; the least recent is dropped.
+_MAX_COMPLETED = 4_096
+
+
+@dataclass(kw_only=True, eq=False)
+class _Crash:
+    """A crash of one upstream, as far as it is known here."""
+
+    recorded_at_s: float
+    expires_at_s: float
+    #: Time until which the store holds a report of the crash.
+    stored_until_s: float = 0.0
+    #: Suspects in requests without a whole event, and in others; without those that
+    #: were cleared since.
+    not_begun: dict[SuspectId, int] = field(default_factory=dict)
+    begun: dict[SuspectId, int] = field(default_factory=dict)
+
+    @property
+    def suspects(self) -> dict[SuspectId, int]:
+        """Suspects that may be the cause.
+
+        A request whose answer had begun is one only where there are no others: crashes
+        come when an upstream begins to execute their cause.
+        """
+        return self.not_begun or self.begun
+
+    def discard(self, suspect: SuspectId) -> bool:
+        """Clear a suspect, and tell whether it was one."""
+        was_suspect = suspect in self.suspects
+        self.not_begun.pop(suspect, None)
+        self.begun.pop(suspect, None)
+        return was_suspect
+
+
+class _LatestTimes:
+    """The latest time noted for each of the most recent suspects."""
+
+    def __init__(self) -> None:
+        self._at_s: OrderedDict[SuspectId, float] = OrderedDict()
+
+    def note(self, suspect: SuspectId, at_s: float) -> None:
+        self._at_s[suspect] = max(at_s, self.of(suspect))
+        self._at_s.move_to_end(suspect)
+        if len(self._at_s) > _MAX_COMPLETED:
+            self._at_s.popitem(last=False)
+
+    def of(self, suspect: SuspectId) -> float:
+        return self._at_s.get(suspect, -inf)
+
+    def since(self, at_s: float) -> set[SuspectId]:
+        return {suspect for suspect, noted_s in self._at_s.items() if noted_s >= at_s}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Quarantine:
+    """A suspect whose requests are refused."""
+
+    suspect: SuspectId
+    #: Crashes at which it was in flight.
+    crashes: int
+    #: Clock at the last of them, in seconds.
+    last_crash_at_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class QuarantineChanges:
+    """How the quarantined suspects changed."""
+
+    begun: tuple[Quarantine, ...]
+    lifted: tuple[SuspectId, ...]
+
+
+class CrashEvidence:
+    """Crashes with the requests that were in flight, and what was cleared since.
+
+    A suspect is a prompt part or the digest of a whole request. Once a request with it
+    completes, it is cleared of the crashes before that request was sent. What explains
+    several crashes is quarantined, see `find_causes`. Such a cause can be wrong, so one
+    request with a cause of few crashes is tried again from time to time.
+
+    Clocks of all arguments are the boot-time clock, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._crash_by_id: OrderedDict[CrashId, _Crash] = OrderedDict()
+        self._quarantine_by_suspect: dict[SuspectId, Quarantine] = {}
+        #: When the last request with a suspect was sent that completed.
+        self._completed_sent_at_s = _LatestTimes()
+        self._reported_cleared_at_s = _LatestTimes()
+        self._tried_at_s: dict[SuspectId, float] = {}
+
+    @property
+    def has_crashes(self) -> bool:
+        """Whether any crash is known."""
+        return bool(self._crash_by_id)
+
+    @property
+    def quarantines(self) -> Collection[Quarantine]:
+        """The suspects whose requests are refused."""
+        return self._quarantine_by_suspect.values()
+
+    def record_crash(
+        self, crash_id: CrashId, suspects: CrashSuspects, *, now_s: float
+    ) -> QuarantineChanges:
+        """Add the suspects that a daemon reports on a crash.
+
+        :param crash_id: The same for all reports on one crash.
+        """
+        crash = self._crash_by_id.get(crash_id)
+        if crash is None:
+            crash = _Crash(recorded_at_s=now_s, expires_at_s=now_s + CRASH_LIFETIME_S)
+            self._crash_by_id[crash_id] = crash
+            if len(self._crash_by_id) > _MAX_CRASHES:
+                self._crash_by_id.popitem(last=False)
+        self._merge(crash, crash.not_begun, suspects.not_begun)
+        self._merge(crash, crash.begun, suspects.begun)
+        return self._decide(now_s)
+
+    def record_stored(self, crash_id: CrashId, *, until_s: float) -> None:
+        """Note until when the store holds a report of a crash; 0 if it was deleted."""
+        crash = self._crash_by_id.get(crash_id)
+        if crash is not None:
+            crash.stored_until_s = until_s
+
+    def record_completion(
+        self, suspects: Collection[SuspectId], *, sent_at_s: float, now_s: float
+    ) -> tuple[QuarantineChanges, tuple[SuspectId, ...]]:
+        """Clear the suspects of a request that was answered completely.
+
+        :param sent_at_s: Time at which it was sent to the upstream that answered it.
+        :returns: The changes, and the suspects to report as cleared to other daemons.
+        """
+        to_report = []
+        cleared_any = False
+        for suspect in suspects:
+            self._completed_sent_at_s.note(suspect, sent_at_s)
+            count = self._clear(suspect, before_s=sent_at_s)
+            cleared_any = cleared_any or count > 0
+            if count >= _CRASHES_TO_REPORT_CLEARED:
+                to_report.append(suspect)
+        changes = self._decide(now_s) if cleared_any else _NO_CHANGES
+        return changes, tuple(to_report)
+
+    def record_cleared(self, suspect: SuspectId, *, now_s: float) -> QuarantineChanges:
+        """Clear a suspect of all known crashes, as another daemon reports."""
+        self._reported_cleared_at_s.note(suspect, now_s)
+        self._completed_sent_at_s.note(suspect, now_s)
+        self._clear(suspect, before_s=now_s)
+        return self._decide(now_s)
+
+    def was_reported_cleared(self, suspect: SuspectId, *, since_s: float) -> bool:
+        """Tell whether a daemon has reported a suspect as cleared since a time."""
+        return self._reported_cleared_at_s.of(suspect) >= since_s
+
+    def find_quarantine(self, suspects: Collection[SuspectId]) -> Quarantine | None:
+        """Return a quarantine that covers a request, if there is one."""
+        for suspect in suspects:
+            quarantine = self._quarantine_by_suspect.get(suspect)
+            if quarantine is not None:
+                return quarantine
+        return None
+
+    def is_suspected(self, suspects: Collection[SuspectId]) -> bool:
+        """Tell whether one more crash could quarantine a suspect of a request."""
+        return any(self._count(suspect) >= CRASHES_OF_CAUSE - 1 for suspect in suspects)
+
+    def begin_trial(self, quarantine: Quarantine, *, now_s: float) -> bool:
+        """Tell whether to send one request in spite of a quarantine, and note it.
+
+        Only one daemon of the fleet may ask.
+        """
+        if quarantine.crashes >= _MAX_TRIED_CRASHES:
+            return False
+        excess = max(0, quarantine.crashes - CRASHES_OF_CAUSE)
+        delay_s = _TRIAL_DELAY_S * 2**excess
+        last_s = max(
+            quarantine.last_crash_at_s,
+            self._tried_at_s.get(quarantine.suspect, 0.0),
+        )
+        if now_s - last_s < delay_s:
+            return False
+        self._tried_at_s[quarantine.suspect] = now_s
+        return True
+
+    def extend(self, quarantine: Quarantine, *, now_s: float) -> tuple[CrashId, ...]:
+        """Keep the crashes of a quarantine, as a request with its suspect was refused.
+
+        :returns: Crashes whose reports are to be stored again.
+        """
+        to_store = []
+        for crash_id, crash in self._crash_by_id.items():
+            if quarantine.suspect not in crash.suspects:
+                continue
+            crash.expires_at_s = now_s + CRASH_LIFETIME_S
+            if crash.stored_until_s - now_s < CRASH_LIFETIME_S / 2:
+                crash.stored_until_s = now_s + CRASH_LIFETIME_S / 2 + _STORE_WAIT_S
+                to_store.append(crash_id)
+        return tuple(to_store)
+
+    def expire(self, *, now_s: float) -> QuarantineChanges:
+        """Forget old crashes."""
+        expired = [
+            crash_id
+            for crash_id, crash in self._crash_by_id.items()
+            if now_s >= crash.expires_at_s
+        ]
+        for crash_id in expired:
+            del self._crash_by_id[crash_id]
+        return self._decide(now_s) if expired else _NO_CHANGES
+
+    def _merge(
+        self, crash: _Crash, known: dict[SuspectId, int], reported: DepthBySuspect
+    ) -> None:
+        for suspect, depth in reported.items():
+            if self._completed_sent_at_s.of(suspect) < crash.recorded_at_s:
+                known[suspect] = depth
+
+    def _clear(self, suspect: SuspectId, *, before_s: float) -> int:
+        """Clear a suspect of the crashes before a time, and return their number."""
+        count = 0
+        for crash in self._crash_by_id.values():
+            if crash.recorded_at_s > before_s:
+                continue
+            count += crash.discard(suspect)
+        return count
+
+    def _count(self, suspect: SuspectId) -> int:
+        return sum(suspect in crash.suspects for crash in self._crash_by_id.values())
+
+    def _decide(self, now_s: float) -> QuarantineChanges:
+        proven = self._completed_sent_at_s.since(now_s - _PROVEN_S)
+        before = self._quarantine_by_suspect
+        causes = find_causes(
+            [each.suspects for each in self._crash_by_id.values()],
+            proven=proven,
+            quarantined=before,
+        )
+        self._quarantine_by_suspect = {
+            suspect: Quarantine(
+                suspect=suspect,
+                crashes=self._count(suspect),
+                last_crash_at_s=self._last_crash_at_s(suspect),
+            )
+            for suspect in causes
+        }
+        self._drop_trials_of_unknown_suspects()
+        return QuarantineChanges(
+            begun=tuple(
+                each
+                for suspect, each in self._quarantine_by_suspect.items()
+                if suspect not in before
+            ),
+            lifted=tuple(
+                suspect
+                for suspect in before
+                if suspect not in self._quarantine_by_suspect
+            ),
+        )
+
+    def _last_crash_at_s(self, suspect: SuspectId) -> float:
+        return max(
+            crash.recorded_at_s
+            for crash in self._crash_by_id.values()
+            if suspect in crash.suspects
+        )
+
+    def _drop_trials_of_unknown_suspects(self) -> None:
+        """Bound the record of trials by the suspects of known crashes."""
+        known = {
+            suspect
+            for crash in self._crash_by_id.values()
+            for suspect in crash.suspects
+        }
+        for suspect in self._tried_at_s.keys() - known:
+            del self._tried_at_s[suspect]
+
+
+_NO_CHANGES = QuarantineChanges(begun=(), lifted=())
--- /dev/null
+++ b/galenashift/retries/tests/test_crash_causes.py
@@ -0,0 +1,82 @@
+"""Which suspects explain a set of crashes."""
+
+import pytest
+
+from galenashift.retries._crash_causes import find_causes
+
+DEPTHS = {"system": 0, "user": 0, "dead": 1, "other": 1, "request": 1_000_000}
+
+
+def crash(text):
+    return {suspect: DEPTHS[suspect] for suspect in text.split()}
+
+
+CASES = {
+    # Requests that differ in all but one part never added up.
+    "common part": (["dead", "dead user", "dead other"], "", "", {"dead"}),
+    "too few": (["dead", "dead user"], "", "", set()),
+    # The system prompt is in flight at each crash, as most requests contain it.
+    "bystander in all crashes": (["system dead"] * 3, "", "", {"dead"}),
+    "bystander in more crashes": (
+        ["system dead"] * 3 + ["system", "system"],
+        "system",
+        "",
+        {"dead"},
+    ),
+    # A part must not be refused for crashes that another one explains.
+    "shared first part": (
+        ["user dead", "user dead", "system dead", "user dead"],
+        "",
+        "",
+        {"dead"},
+    ),
+    "two causes": (["dead"] * 3 + ["other"] * 3, "", "", {"dead", "other"}),
+    # Only the same request was sent: other requests with its parts are served.
+    "same request": (["system dead request"] * 3, "", "", {"request"}),
+    "same request and others": (
+        ["system dead request"] * 3 + ["user dead"],
+        "",
+        "",
+        {"dead"},
+    ),
+    "completed recently": (["system"] * 3, "system", "", set()),
+    "completed recently, one more crash": (["system"] * 4, "system", "", {"system"}),
+    # A quarantined part adds no crashes, and must not be served again because
+    # another cause was in flight at some of its crashes.
+    "quarantined, partly explained": (
+        ["dead", "dead other", "dead other", "other", "other"],
+        "",
+        "dead",
+        {"dead", "other"},
+    ),
+    # One more crash with a bystander is no reason to serve a deadly part again.
+    "quarantined, and a bystander in one more crash": (
+        ["system dead"] * 3 + ["system"],
+        "",
+        "dead",
+        {"dead"},
+    ),
+    "quarantined, fully explained": (
+        ["system dead"] * 3 + ["user dead", "other dead"],
+        "",
+        "system",
+        {"dead"},
+    ),
+    "none": ([], "", "dead", set()),
+    "all cleared": (["", ""], "", "", set()),
+}
+
+
+@pytest.mark.parametrize(
+    ("crashes", "proven", "quarantined", "causes"), CASES.values(), ids=CASES
+)
+def test_causes_are_the_fewest_suspects_that_explain_the_crashes(
+    crashes, proven, quarantined, causes
+):
+    # Guards against the quarantine of bystanders, and of nothing at all.
+    found = find_causes(
+        [crash(each) for each in crashes],
+        proven=set(proven.split()),
+        quarantined=set(quarantined.split()),
+    )
+    assert found == causes
--- /dev/null
+++ b/galenashift/retries/tests/test_crash_evidence.py
@@ -0,0 +1,189 @@
+"""Evidence on crashes over time and at several daemons."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from galenashift.model import CrashSuspects
+from galenashift.retries import CRASH_LIFETIME_S, CrashEvidence
+from galenashift.retries._crash_evidence import (
+    _MAX_CRASHES,
+    _MAX_TRIED_CRASHES,
+    _TRIAL_DELAY_S,
+)
+
+
+def suspects(*not_begun, begun=()):
+    return CrashSuspects(
+        not_begun={each: depth for depth, each in enumerate(not_begun)},
+        begun={each: depth for depth, each in enumerate(begun)},
+    )
+
+
+def evidence_of(*crashes, at_s=10.0):
+    """Record crashes one second apart from the given time on."""
+    evidence = CrashEvidence()
+    for number, crash in enumerate(crashes):
+        evidence.record_crash(f"c{number}", crash, now_s=at_s + number)
+    return evidence
+
+
+def quarantined(evidence):
+    return {each.suspect for each in evidence.quarantines}
+
+
+def test_reports_of_several_daemons_on_one_crash_count_once():
+    # Each daemon with a request in flight reports the crash of an upstream.
+    evidence = CrashEvidence()
+    for now_s in (1.0, 1.1, 1.2):
+        evidence.record_crash("c0", suspects("dead"), now_s=now_s)
+    assert quarantined(evidence) == set()
+
+
+def test_request_whose_answer_had_begun_is_a_suspect_only_where_there_is_no_other():
+    # Long streams are in flight at many crashes that they do not cause.
+    crashes = [suspects("dead", begun=("long",))] * 3
+    assert quarantined(evidence_of(*crashes)) == {"dead"}
+    assert quarantined(evidence_of(*[suspects(begun=("long",))] * 3)) == {"long"}
+
+
+@pytest.mark.parametrize(
+    ("sent_at_s", "remaining"),
+    [(9.0, {"part"}), (12.5, set())],
+    ids=["before", "after"],
+)
+def test_completion_clears_only_crashes_before_its_request_was_sent(
+    sent_at_s, remaining
+):
+    # A stream that began before its part turned deadly proves nothing about it.
+    evidence = evidence_of(*[suspects("part")] * 3)
+    evidence.record_completion(["part"], sent_at_s=sent_at_s, now_s=14.0)
+    assert quarantined(evidence) == remaining
+
+
+def test_late_report_does_not_revive_a_cleared_suspect():
+    # Reports that waited for the store, and each listing of it, name it again.
+    evidence = evidence_of(*[suspects("part")] * 3)
+    evidence.record_completion(["part"], sent_at_s=13.0, now_s=14.0)
+    for number in range(3):
+        evidence.record_crash(f"c{number}", suspects("part"), now_s=15.0)
+    assert quarantined(evidence) == set()
+
+
+def test_only_a_suspect_of_several_crashes_is_reported_as_cleared():
+    # Most requests share parts; a report for each completion would load the store.
+    evidence = evidence_of(suspects("once"), suspects("twice"), suspects("twice"))
+    _, reported = evidence.record_completion(
+        ["once", "twice", "never"], sent_at_s=13.0, now_s=14.0
+    )
+    assert reported == ("twice",)
+    _, reported = evidence.record_completion(["twice"], sent_at_s=14.0, now_s=15.0)
+    assert reported == ()
+
+
+def test_report_of_a_cleared_suspect_lifts_the_quarantine():
+    # A sound part that is quarantined at one daemon would stay refused there.
+    evidence = evidence_of(*[suspects("part")] * 3)
+    changes = evidence.record_cleared("part", now_s=14.0)
+    assert changes.lifted == ("part",)
+    assert evidence.was_reported_cleared("part", since_s=14.0)
+    assert not evidence.was_reported_cleared("part", since_s=14.1)
+
+
+def test_crashes_are_forgotten_unless_their_requests_keep_coming():
+    # A quarantine that lapses while such requests come costs further crashes.
+    evidence = evidence_of(*[suspects("dead")] * 3)
+    (quarantine,) = evidence.quarantines
+    extended_s = 12.0 + CRASH_LIFETIME_S - 10.0
+    assert len(evidence.extend(quarantine, now_s=extended_s)) == 3
+    evidence.expire(now_s=extended_s + CRASH_LIFETIME_S - 1.0)
+    assert quarantined(evidence) == {"dead"}
+    changes = evidence.expire(now_s=extended_s + CRASH_LIFETIME_S)
+    assert changes.lifted == ("dead",)
+    assert not evidence.has_crashes
+
+
+def test_reports_are_stored_again_after_they_were_deleted():
+    # Leases can lapse in an outage of the store; a daemon that starts then would not
+    # know the quarantine.
+    evidence = evidence_of(*[suspects("dead")] * 3)
+    (quarantine,) = evidence.quarantines
+    for number in range(3):
+        evidence.record_stored(f"c{number}", until_s=12.0 + CRASH_LIFETIME_S)
+    assert evidence.extend(quarantine, now_s=13.0) == ()
+    evidence.record_stored("c1", until_s=0.0)
+    assert evidence.extend(quarantine, now_s=14.0) == ("c1",)
+    assert evidence.extend(quarantine, now_s=14.5) == ()
+
+
+def test_trials_are_rare_and_end():
+    # A wrong quarantine must end; each trial of a right one crashes an upstream.
+    evidence = evidence_of(*[suspects("dead")] * 3)
+    now_s, trials = 12.0, 0
+    for number in range(3, 60):
+        now_s += _TRIAL_DELAY_S / 2
+        (quarantine,) = evidence.quarantines
+        if evidence.begin_trial(quarantine, now_s=now_s):
+            trials += 1
+            evidence.record_crash(f"c{number}", suspects("dead"), now_s=now_s)
+    assert trials == _MAX_TRIED_CRASHES - 3
+
+
+def test_known_crashes_are_bounded():
+    evidence = evidence_of(*[suspects(f"part{n}") for n in range(2 * _MAX_CRASHES)])
+    assert len(evidence._crash_by_id) == _MAX_CRASHES
+
+
+DAEMONS = 3
+BYSTANDERS = ("system", "user", "other")
+#: One step of the model: the daemon with the crashing request, what was in flight at
+#: the same upstream at which daemons, and whose reports are delivered only at the end.
+STEP = st.tuples(
+    st.integers(0, DAEMONS - 1),
+    st.lists(
+        st.tuples(st.integers(0, DAEMONS - 1), st.sampled_from(BYSTANDERS)), max_size=4
+    ),
+    st.sets(st.integers(0, DAEMONS - 1)),
+    st.randoms(use_true_random=False),
+)
+
+
+@given(st.lists(STEP, min_size=5, max_size=9), st.data())
+@settings(deadline=None)
+def test_all_daemons_agree_on_the_cause_in_any_order_of_reports(steps, data):
+    # Guards against evidence that adds up only if it arrives in order, and against the
+    # quarantine of sound parts: they complete after each crash at some daemon.
+    daemons = [CrashEvidence() for _ in range(DAEMONS)]
+    late = []
+    crashes = 0
+    now_s = 0.0
+    for number, (source, bystanders, delayed, random) in enumerate(steps):
+        now_s += 1.0
+        if "dead" not in quarantined(daemons[source]):
+            crashes += 1
+            reports = {source: ["system", "dead"]}
+            for daemon, part in bystanders:
+                reports.setdefault(daemon, []).append(part)
+            for reporter, parts in reports.items():
+                report = (f"c{number}", suspects(*parts))
+                daemons[reporter].record_crash(*report, now_s=now_s)
+                targets = [each for each in daemons if each is not daemons[reporter]]
+                if reporter in delayed:
+                    late += [(target, report) for target in targets]
+                else:
+                    for target in random.sample(targets, len(targets)):
+                        target.record_crash(*report, now_s=now_s + 0.2)
+        completing = data.draw(st.integers(0, DAEMONS - 1))
+        _, cleared = daemons[completing].record_completion(
+            BYSTANDERS, sent_at_s=now_s + 0.5, now_s=now_s + 0.8
+        )
+        for daemon in daemons:
+            for suspect in cleared:
+                daemon.record_cleared(suspect, now_s=now_s + 0.9)
+    for target, report in late:
+        target.record_crash(*report, now_s=now_s + 1.0)
+    for daemon in daemons:
+        _, cleared = daemon.record_completion(
+            BYSTANDERS, sent_at_s=now_s + 2.0, now_s=now_s + 2.5
+        )
+        assert quarantined(daemon) == ({"dead"} if crashes >= 3 else set())
