Count a request as the cause of crashes from its second crash on

Change: a whole request is a cause after two crashes, and gives way to a part that explains more; a quarantined part does not give way to a bystander in one more crash.

--- a/galenashift/gateway/_suspects.py
+++ b/galenashift/gateway/_suspects.py
@@ -3,10 +3,8 @@
 from collections.abc import Mapping
 from hashlib import blake2b
 
-from galenashift.model import Fingerprint, PromptPart, SuspectId
+from galenashift.model import REQUEST_DEPTH, Fingerprint, PromptPart, SuspectId
 
-#: Depth of the digest of a whole request, which is below all prompt parts.
-_REQUEST_DEPTH = 1_000_000
 #: Longest id of a prompt part that is used as it is, in characters.
 _MAX_PART_LENGTH = 40
 #: Prompt parts of one request that are suspects.
@@ -24,7 +22,7 @@
 
 def request_suspect(fingerprint: Fingerprint) -> Mapping[SuspectId, int]:
     """Return the suspect that stands for all attempts of one request."""
-    return {SuspectId(f"request:{fingerprint}"): _REQUEST_DEPTH}
+    return {SuspectId(f"request:{fingerprint}"): REQUEST_DEPTH}
 
 
 def _part_suspect(part: PromptPart) -> SuspectId:
--- a/galenashift/model/_crash.py
+++ b/galenashift/model/_crash.py
@@ -5,6 +5,9 @@
 
 from ._ids import SuspectId
 
+#: Depth of the digest of a whole request.
+REQUEST_DEPTH = 1_000_000
+
 #: Suspects with their depths. The depth of a prompt part is its position in the prompt,
 #: and the digest of the whole request is deeper than all parts.
 DepthBySuspect = Mapping[SuspectId, int]
--- a/galenashift/platform/_crash_records.py
+++ b/galenashift/platform/_crash_records.py
@@ -6,6 +6,7 @@
 from hashlib import blake2b
 
 from galenashift.model import (
+    REQUEST_DEPTH,
     CrashId,
     CrashSuspects,
     DaemonId,
@@ -20,8 +21,6 @@
 CLEARED_PREFIX = "cleared/"
 #: Most suspects that a report may name.
 _MAX_SUSPECTS = 1_000
-#: Largest position of a suspect in a request.
-_MAX_DEPTH = 1_000_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -89,7 +88,7 @@
     if len(data) > _MAX_SUSPECTS:
         raise ValueError(f"{len(data)} suspects")
     return {
-        SuspectId(to_text(suspect)): to_integer(depth, maximum=_MAX_DEPTH)
+        SuspectId(to_text(suspect)): to_integer(depth, maximum=REQUEST_DEPTH)
         for suspect, depth in data.items()
     }
 
--- a/galenashift/retries/_crash_causes.py
+++ b/galenashift/retries/_crash_causes.py
@@ -2,11 +2,45 @@
 
 from collections import Counter
 from collections.abc import Collection, Sequence
+from dataclasses import dataclass
 
-from galenashift.model import DepthBySuspect, SuspectId
+from galenashift.model import REQUEST_DEPTH, DepthBySuspect, SuspectId
 
-#: Crashes without another explanation after which a suspect counts as their cause.
-CRASHES_OF_CAUSE = 3
+#: Crashes without another explanation after which a prompt part counts as their cause.
+CRASHES_OF_PART = 3
+#: The same for a whole request: bystanders are seldom in flight at two crashes, and
+#: further repeats of one request would hide which of its parts is the cause.
+CRASHES_OF_REQUEST = 2
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Candidate:
+    suspect: SuspectId
+    crashes: int
+    depth: int
+    proven: bool
+    quarantined: bool
+
+    @property
+    def is_request(self) -> bool:
+        return self.depth == REQUEST_DEPTH
+
+    @property
+    def weight(self) -> int:
+        # Requests with a quarantined part do not run and add no more crashes. A request
+        # is only one of those with its parts, so a part with more crashes replaces it.
+        bonus = self.quarantined and not self.is_request
+        return self.crashes - self.proven + bonus
+
+    @property
+    def is_cause(self) -> bool:
+        """Whether the suspect explains what no better candidate explains."""
+        needed = CRASHES_OF_REQUEST if self.is_request else CRASHES_OF_PART
+        return self.quarantined or self.crashes - self.proven >= needed
+
+    @property
+    def rank(self) -> tuple[bool, int, int, SuspectId]:
+        return not self.proven, self.weight, self.depth, self.suspect
 
 
 def find_causes(
@@ -25,36 +59,29 @@
     :param crashes: Suspects of each crash, without those that were cleared.
     :param proven: Suspects with which a request completed recently. They come last and
         need one more crash, as the report that clears them may still be on its way.
-    :param quarantined: Suspects that are quarantined. Their requests do not run and add
-        no crashes, so they count one more, and one without another explanation is
-        enough.
+    :param quarantined: Suspects that are quarantined. They stay so while one crash has
+        no other explanation.
     """
     causes: set[SuspectId] = set()
     unexplained = list(crashes)
     while True:
-        count_by_suspect = Counter(each for crash in unexplained for each in crash)
+        crashes_by_suspect = Counter(each for crash in unexplained for each in crash)
         depth_by_suspect = {
             suspect: depth for crash in unexplained for suspect, depth in crash.items()
         }
-        weight_by_suspect = {
-            suspect: count - (suspect in proven) + (suspect in quarantined)
-            for suspect, count in count_by_suspect.items()
-        }
         candidates = [
-            suspect
-            for suspect, weight in weight_by_suspect.items()
-            if weight >= CRASHES_OF_CAUSE or suspect in quarantined
+            _Candidate(
+                suspect=suspect,
+                crashes=count,
+                depth=depth_by_suspect[suspect],
+                proven=suspect in proven,
+                quarantined=suspect in quarantined,
+            )
+            for suspect, count in crashes_by_suspect.items()
         ]
-        if not candidates:
+        possible = [each for each in candidates if each.is_cause]
+        if not possible:
             return causes
-        cause = max(
-            candidates,
-            key=lambda suspect: (
-                suspect not in proven,
-                weight_by_suspect[suspect],
-                depth_by_suspect[suspect],
-                suspect,
-            ),
-        )
+        cause = max(possible, key=lambda candidate: candidate.rank).suspect
         causes.add(cause)
         unexplained = [crash for crash in unexplained if cause not in crash]
--- a/galenashift/retries/tests/test_crash_causes.py
+++ b/galenashift/retries/tests/test_crash_causes.py
@@ -2,9 +2,10 @@
 
 import pytest
 
+from galenashift.model import REQUEST_DEPTH
 from galenashift.retries._crash_causes import find_causes
 
-DEPTHS = {"system": 0, "user": 0, "dead": 1, "other": 1, "request": 1_000_000}
+DEPTHS = {"system": 0, "user": 0, "dead": 1, "other": 1, "request": REQUEST_DEPTH}
 
 
 def crash(text):
@@ -33,6 +34,14 @@
     "two causes": (["dead"] * 3 + ["other"] * 3, "", "", {"dead", "other"}),
     # Only the same request was sent: other requests with its parts are served.
     "same request": (["system dead request"] * 3, "", "", {"request"}),
+    # Its repeats by the caller would bring the crashes of its parts to the threshold.
+    "same request twice": (["system dead request"] * 2, "", "", {"request"}),
+    "same request, then another one": (
+        ["system dead request"] * 2 + ["user dead"],
+        "",
+        "request",
+        {"dead"},
+    ),
     "same request and others": (
         ["system dead request"] * 3 + ["user dead"],
         "",
