Treat a stream that ends inside an event as broken off

Cause: a stream without length or chunks, or with an end that its upstream stated, was passed on with the part of its last event and marked complete; an empty answer that ended with its connection was passed on as a whole one. In a stream that had begun, an error of the next upstream was written as a second head. A copy of an earlier 421 without an id on a kept connection was taken as a promise for repeatable requests. Change: the writer of a stream tells whether it may end; what ends inside an event is broken off, resumed elsewhere if it may be, and a sign of a crash. Events may end in each of the line ends of event streams. A begun stream ends incomplete where no upstream can resume it. No 421 without an id counts on a connection in use again.

--- a/galenashift/gateway/_connection.py
+++ b/galenashift/gateway/_connection.py
@@ -24,6 +24,8 @@
 #: Most bytes before the body of an answer, including informational answers.
 MAX_HEAD_BYTES = 65_536
 
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+
 
 class ConnectionFailed(Exception):  # noqa: N818
     """The connection failed or received an unexpected message.
@@ -67,6 +69,11 @@
     status: int
     headers: list[tuple[bytes, bytes]]
 
+    @property
+    def states_end(self) -> bool:
+        """Whether the answer has a length or chunks."""
+        return any(name in _FRAMING_HEADERS for name, _ in self.headers)
+
 
 class UpstreamConnection:
     """A connection that processes one request at a time.
--- a/galenashift/gateway/_event_parts.py
+++ b/galenashift/gateway/_event_parts.py
@@ -4,7 +4,8 @@
 
 #: Largest incomplete event that is buffered, in bytes.
 MAX_EVENT_BYTES = 1_000_000
-_EVENT_END = b"\n\n"
+#: A line end and an empty line, with each of the line ends of event streams.
+_EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _ID_FIELD = b"id:"
 
 
@@ -23,17 +24,22 @@
         :raises AnswerTooLarge: If the incomplete event exceeds `MAX_EVENT_BYTES`.
         """
         buffered = self._partial_event + data
-        end = buffered.rfind(_EVENT_END)
-        if end < 0:
+        end = _end_of_last_event(buffered)
+        if end == 0:
             if len(buffered) > MAX_EVENT_BYTES:
                 raise AnswerTooLarge("event", max_bytes=MAX_EVENT_BYTES)
             self._partial_event = buffered
             return b""
-        complete_events = buffered[: end + len(_EVENT_END)]
-        self._partial_event = buffered[end + len(_EVENT_END) :]
+        complete_events = buffered[:end]
+        self._partial_event = buffered[end:]
         self.last_id = _last_id(complete_events) or self.last_id
         return complete_events
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun that is not complete."""
+        return bool(self._partial_event.strip())
+
     def take_partial(self) -> bytes:
         """Return and clear the data after the last complete event."""
         partial_event, self._partial_event = self._partial_event, b""
@@ -44,8 +50,15 @@
         self._partial_event = b""
 
 
+def _end_of_last_event(data: bytes) -> int:
+    """Return the number of bytes up to the end of the last complete event."""
+    return max(
+        data.rfind(each) + len(each) if each in data else 0 for each in _EVENT_ENDS
+    )
+
+
 def _last_id(events: bytes) -> str | None:
-    for line in reversed(events.split(b"\n")):
+    for line in reversed(events.splitlines()):
         if line.startswith(_ID_FIELD):
             return line[len(_ID_FIELD) :].strip().decode("latin-1")
     return None
--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -132,6 +132,7 @@
         request: OutgoingRequest,
         timeouts: ExchangeTimeouts,
         sink: StreamSink | None = None,
+        is_whole: Callable[[], bool] = lambda: True,
         may_send: Callable[[], bool] = lambda: True,
     ) -> Outcome:
         """Send a request and read its answer.
@@ -139,6 +140,7 @@
         :param upstream: Upstream that receives the request.
         :param sink: Receives the data of a successful answer as it arrives. Without
             it, the answer is read completely.
+        :param is_whole: Tells whether what the sink received may be a complete answer.
         :param may_send: Checked right before the first byte is sent.
         """
         upstream_id = upstream.upstream_id
@@ -155,7 +157,7 @@
             if not may_send():
                 return NotSent(detail="the upstream no longer accepts requests")
             outcome, reusable = await self._send_and_read(
-                connection, request, timeouts, sink
+                connection, request, timeouts, sink, is_whole
             )
             return outcome
         finally:
@@ -170,6 +172,7 @@
         request: OutgoingRequest,
         timeouts: ExchangeTimeouts,
         sink: StreamSink | None,
+        is_whole: Callable[[], bool],
     ) -> tuple[Outcome, bool]:
         # The request is encoded before anything is read, so that a close of the
         # connection counts as a failure of this request even if it arrives first.
@@ -182,7 +185,7 @@
             )
         except ConnectionFailed as error:
             return NotSent(detail=str(error)), False
-        reader = _Reader(connection, request, timeouts, sink)
+        reader = _Reader(connection, request, timeouts, sink, is_whole)
         sent = trio.Event()
 
         async def send() -> None:
@@ -236,12 +239,16 @@
         request: OutgoingRequest,
         timeouts: ExchangeTimeouts,
         sink: StreamSink | None,
+        is_whole: Callable[[], bool],
     ) -> None:
         self._connection = connection
         self._request = request
         self._timeouts = timeouts
         self._sink = sink
+        self._is_whole = is_whole
         self._started = False
+        #: Whether the body has any data.
+        self._has_data = False
         #: Whether the answer was read up to its end.
         self.fully_read = False
         #: Whether the attempt id of each answer matched. If not, a later copy of one of
@@ -299,9 +306,9 @@
         On a connection in use again, it may be a late copy of an earlier answer. It
         then does not prove that the request was not executed.
 
-        :raises ConnectionFailed: If the request must not be executed twice.
+        :raises ConnectionFailed: If the connection was used before.
         """
-        if self._connection.reused and not self._request.repeatable:
+        if self._connection.reused:
             raise ConnectionFailed("421 without an attempt id on a reused connection")
 
     async def _read_rest(self) -> bytes:
@@ -319,6 +326,7 @@
             # whose write was cancelled halfway could not resume at another upstream.
             if scope.cancel_called:
                 await trio.lowlevel.checkpoint()
+            self._has_data = True
             deadline_s, scope.deadline = scope.deadline, math.inf
             event_ended = await sink(head, data)
             self._started = self._started or event_ended
@@ -328,5 +336,17 @@
                 event_gap_s=self._timeouts.event_gap_s,
                 now_s=trio.current_time(),
             )
+        self._check_end(head)
         self.fully_read = True
         return StreamEnded(complete=True, started=self._started, detail="")
+
+    def _check_end(self, head: AnswerHead) -> None:
+        """Check that a stream ended where it may end.
+
+        :raises ConnectionFailed: If it was broken off. Without a length or chunks, the
+            end of the connection after a crash looks like the end of the answer.
+        """
+        if not self._is_whole():
+            raise ConnectionFailed("the stream ended inside an event", reset=True)
+        if not self._has_data and not head.states_end:
+            raise ConnectionFailed("the connection ended before any data", reset=True)
--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -57,6 +57,17 @@
             return may_have_run(reason=Reason.UPSTREAM_FAILED, detail="no answer")
 
 
+def resume_failure(status: int) -> Failure:
+    """Return the failure of a stream whose next upstream answered with an error.
+
+    :param status: Status of that answer, which can't follow the events sent before.
+    """
+    return may_have_run(
+        reason=Reason.INCOMPLETE_STREAM,
+        detail=f"the upstream that was to resume the stream answered {status}",
+    )
+
+
 def timeout_failure(*, sent: bool) -> Failure:
     """Return the failure of a request whose deadline has passed.
 
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -37,6 +37,7 @@
     broken_failure,
     no_upstream_failure,
     refused_failure,
+    resume_failure,
     stage_failure,
     timeout_failure,
 )
@@ -287,6 +288,7 @@
                 request=request,
                 timeouts=self._retries.timeouts(job, now_s=now_s),
                 sink=writer.forward if job.route.kind is RequestKind.STREAM else None,
+                is_whole=writer.is_whole,
                 may_send=partial(self._begin_send, job, upstream),
             )
         finally:
@@ -338,6 +340,8 @@
                 ):
                     job.fallback_answer = outcome
                     return _RETRY
+                if responder.status is not None:
+                    return resume_failure(head.status)
                 if head.status < _SERVER_ERROR:
                     self._crash_policy.complete(job, sent_at_s=writer.sent_at_s)
                 await _deliver(responder, outcome)
--- a/galenashift/gateway/_stream.py
+++ b/galenashift/gateway/_stream.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Callable
 
-from galenashift.platform import encode_answer
+from galenashift.platform import encode_answer, find_header
 
 from ._caller import Responder
 from ._connection import AnswerHead
 from ._event_parts import EventSplitter
 
+_CONTENT_TYPE = b"content-type"
+_EVENT_STREAM = "text/event-stream"
+
 
 class StreamWriter:
     """Forwards events to the caller as soon as they are complete.
@@ -75,6 +78,21 @@
         else:
             await self._responder.send(data)
 
+    def is_whole(self) -> bool:
+        """Tell whether the answer so far may be complete.
+
+        An event stream that ends inside an event has been broken off, however its end
+        was marked. Other bodies are forwarded as they are.
+        """
+        return not self._splitter.is_inside_event or not self._has_events
+
+    @property
+    def _has_events(self) -> bool:
+        if self._head is None:
+            return True
+        content_type = find_header(self._head.headers, _CONTENT_TYPE)
+        return content_type is None or content_type.startswith(_EVENT_STREAM)
+
     async def finish(self) -> None:
         """Write the remaining data and the end of a complete stream.
 
--- a/galenashift/gateway/tests/relay_fakes.py
+++ b/galenashift/gateway/tests/relay_fakes.py
@@ -107,7 +107,9 @@
         self.requests = []
         self.upstreams = []
 
-    async def exchange(self, *, upstream, request, timeouts, sink=None, may_send=None):
+    async def exchange(
+        self, *, upstream, request, timeouts, sink=None, may_send=None, is_whole=None
+    ):
         self.upstreams.append(upstream.upstream_id)
         outcome = self.outcomes.pop(0)
         if isinstance(outcome, NotSent):
--- a/galenashift/gateway/tests/test_broken_answers.py
+++ b/galenashift/gateway/tests/test_broken_answers.py
@@ -1,10 +1,19 @@
-"""Answers and streams that break off: what counts as whole, and as a sign of a crash."""
+"""Answers that break off: what counts as whole, and as a sign of a crash."""
 
 import pytest
 
-from galenashift.gateway._exchange import Broken
+from galenashift.gateway._exchange import Broken, StreamEnded
+from galenashift.gateway._stream import StreamWriter
+from galenashift.gateway.tests.relay_fakes import (
+    EVENTS,
+    REFUSED,
+    FakeResponder,
+    answered,
+    serve,
+)
 from galenashift.gateway.tests.test_exchange import (
     CHUNKED_HEAD,
+    COMPLETE_ANSWER,
     Upstream,
     new_request,
     run_exchange,
@@ -36,3 +45,99 @@
     )
     assert isinstance(outcome, Broken)
     assert outcome.reset is reset
+
+
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nGalenashift-Attempt-Id: a1\r\n\r\n"
+LENGTH_HEAD = UNFRAMED_HEAD[:-2] + b"Content-Length: %d\r\n\r\n"
+JSON_HEAD = UNFRAMED_HEAD[:-2] + b"Content-Type: application/json\r\n\r\n"
+EVENT = b"id: 1\ndata: x\n\n"
+CRLF_EVENT = EVENT.replace(b"\n", b"\r\n")
+PART = b"id: 2\nda"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+CHUNKED_END = b"0\r\n\r\n"
+STREAMS = {
+    "unframed": ((UNFRAMED_HEAD, EVENT, "close"), EVENT, True),
+    "chunked": ((CHUNKED_HEAD, chunk(EVENT), CHUNKED_END), EVENT, True),
+    "other line ends": ((UNFRAMED_HEAD, CRLF_EVENT, "close"), CRLF_EVENT, True),
+    "empty line at the end": (
+        (UNFRAMED_HEAD, EVENT + b"\n", "close"),
+        EVENT + b"\n",
+        True,
+    ),
+    "no event stream": ((JSON_HEAD, b"{}", "close"), b"", True),
+    "empty with an end": ((CHUNKED_HEAD, CHUNKED_END), b"", True),
+    "unframed, cut": ((UNFRAMED_HEAD, EVENT + PART, "close"), EVENT, False),
+    "chunked, cut": ((CHUNKED_HEAD, chunk(EVENT + PART), CHUNKED_END), EVENT, False),
+    "length, cut": ((LENGTH_HEAD % 23, EVENT + PART, "hang"), EVENT, False),
+    "unframed, reset": ((UNFRAMED_HEAD, EVENT, 0.05, "reset"), EVENT, False),
+    "first event cut": ((UNFRAMED_HEAD, PART, "close"), b"", False),
+    "unframed, empty": ((UNFRAMED_HEAD, "close"), b"", False),
+}
+
+
+@pytest.mark.parametrize(
+    ("script", "forwarded", "whole"), STREAMS.values(), ids=STREAMS
+)
+def test_stream_that_ends_inside_an_event_has_been_broken_off(script, forwarded, whole):
+    # A stream cut inside an event was passed on with the part of the event and marked
+    # complete, whenever its length or its end was stated, or its connection ended.
+    responder = FakeResponder()
+    writer = StreamWriter(responder=responder, last_id=None)
+    outcome = run_exchange(
+        Upstream(("read", *script)),
+        lambda exchange: exchange(
+            request=new_request(), sink=writer.forward, is_whole=writer.is_whole
+        ),
+    )
+    assert responder.body == forwarded
+    match outcome:
+        case StreamEnded(complete=complete):
+            assert complete is whole
+            assert whole or forwarded
+        case Broken(reset=reset):
+            assert reset
+            assert not whole
+            assert not forwarded
+        case _:
+            pytest.fail(f"{outcome}")
+
+
+BROKEN_OFF = StreamEnded(complete=False, started=True, detail="closed")
+
+
+@pytest.mark.parametrize("status", [400, 500])
+def test_error_of_the_next_upstream_is_not_written_into_a_stream(status):
+    # A second head was written in the middle of the stream, and the handler ended with
+    # an exception of the HTTP parser.
+    exchanger, responder = serve("resumed", BROKEN_OFF, answered(status))
+    assert len(exchanger.requests) == 2
+    assert responder.body == EVENTS
+    assert not responder.finished
+
+
+def test_refusal_in_a_begun_stream_ends_it_incomplete():
+    exchanger, responder = serve("resumed", BROKEN_OFF, REFUSED)
+    assert len(exchanger.requests) == 2
+    assert responder.body == EVENTS
+    assert not responder.finished
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_copy_of_an_earlier_refusal_is_no_promise(repeatable):
+    # A copy of a 421 without an id on a kept connection told callers of repeatable
+    # requests, too, that nothing had run.
+    refusal = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+    upstream = Upstream(
+        ("read", COMPLETE_ANSWER, "read", refusal, COMPLETE_ANSWER, "hang")
+    )
+
+    async def scenario(exchange):
+        await exchange(request=new_request())
+        return await exchange(request=new_request(repeatable=repeatable))
+
+    assert isinstance(run_exchange(upstream, scenario), Broken)
