Decide on quarantines once for many reports, and crash upstreams in the soak

Cause: the causes were searched again for each report; when many upstreams crash at once, each daemon receives some hundred reports in a second. The soak had no crashing part. Change: new evidence is decided on before the next request. The soak sends prompts with a part that crashes the model upstreams during a fault.

--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -36,7 +36,7 @@
 #: Suspected crashes that wait to be examined; further ones are logged and dropped.
 _MAX_PENDING_SUSPICIONS = 100
 #: Time between two checks for crashes to forget, in seconds.
-_EXPIRY_INTERVAL_S = 5.0
+_EXPIRY_INTERVAL_S = 2.0
 #: Daemons that report a cleared suspect at different times, so that the report of the
 #: first one spares those of the others.
 _RANKED_DAEMONS = 20
@@ -126,6 +126,7 @@
 
         :returns: A `Trial` if it may be sent in spite of a quarantine.
         """
+        self._decide()
         quarantine = self._evidence.find_quarantine(suspects)
         if quarantine is None:
             return None
@@ -140,9 +141,22 @@
 
     def find_quarantine(self, suspects: Mapping[SuspectId, int]) -> Quarantine | None:
         """Return the quarantine of a request that was admitted before, if any."""
+        self._decide()
         quarantine = self._evidence.find_quarantine(suspects)
         return None if quarantine is None else self._refuse(quarantine, suspects)
 
+    def _decide(self) -> None:
+        changes = self._evidence.decide(now_s=self._clock())
+        for quarantine in changes.begun:
+            self._events.warning(
+                "quarantine-begun",
+                suspect=quarantine.suspect,
+                crashes=quarantine.crashes,
+                last_crash_s=self._clock() - quarantine.last_crash_at_s,
+            )
+        for suspect in changes.lifted:
+            self._events.warning("quarantine-lifted", suspect=suspect)
+
     def _tries(self, quarantine: Quarantine) -> bool:
         """Tell whether this daemon tries one request in spite of a quarantine."""
         ranked = rank_daemons(
@@ -182,11 +196,7 @@
 
         :param sent_at_s: Boot-time clock at which it was sent there, in seconds.
         """
-        changes, cleared = self._evidence.record_completion(
-            suspects, sent_at_s=sent_at_s, now_s=self._clock()
-        )
-        self._view.report_quarantines(changes)
-        for suspect in cleared:
+        for suspect in self._evidence.record_completion(suspects, sent_at_s=sent_at_s):
             try:
                 self._cleared_sender.send_nowait(suspect)
             except trio.WouldBlock:
@@ -204,8 +214,8 @@
     async def _forget_old_crashes(self) -> None:
         while True:
             await trio.sleep(_EXPIRY_INTERVAL_S)
-            changes = self._evidence.expire(now_s=self._clock())
-            self._view.report_quarantines(changes)
+            self._evidence.expire(now_s=self._clock())
+            self._decide()
 
     async def _examine(self, suspicion: Suspicion) -> None:
         upstream = suspicion.upstream
@@ -228,10 +238,7 @@
     def _record(self, suspicion: Suspicion) -> None:
         self._metrics.count("upstream_crashes_total")
         crash_id = crash_id_of(suspicion.upstream)
-        changes = self._evidence.record_crash(
-            crash_id, suspicion.suspects, now_s=self._clock()
-        )
-        self._view.report_quarantines(changes)
+        self._evidence.record_crash(crash_id, suspicion.suspects, now_s=self._clock())
         own = suspicion.suspects
         earlier = self._own_suspects_by_crash.get(crash_id)
         if earlier is not None:
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -32,7 +32,7 @@
     decode_evacuated,
     decode_upstream,
 )
-from galenashift.retries import CRASH_LIFETIME_S, CrashEvidence, QuarantineChanges
+from galenashift.retries import CRASH_LIFETIME_S, CrashEvidence
 
 #: Grace period after an outage of the store in which registrations that expired during
 #: it may be renewed, in seconds.
@@ -259,28 +259,15 @@
             "begun": ",".join(report.suspects.begun),
         }
         self._report("crash-reported", fields)
-        changes = self.crash_evidence.record_crash(
-            report.crash_id, report.suspects, now_s=now_s
-        )
+        self.crash_evidence.record_crash(report.crash_id, report.suspects, now_s=now_s)
         self.crash_evidence.record_stored(
             report.crash_id, until_s=now_s + CRASH_LIFETIME_S
         )
-        self.report_quarantines(changes)
 
     def _put_cleared(self, item: Item, now_s: float) -> None:
         suspect = decode_cleared(key=item.key, value=item.value)
         self._report("suspect-cleared", {"suspect": suspect})
-        self.report_quarantines(
-            self.crash_evidence.record_cleared(suspect, now_s=now_s)
-        )
-
-    def report_quarantines(self, changes: QuarantineChanges) -> None:
-        """Report which suspects are quarantined from now on, and which no longer."""
-        for quarantine in changes.begun:
-            fields = {"suspect": quarantine.suspect, "crashes": quarantine.crashes}
-            self._report("quarantine-begun", fields)
-        for suspect in changes.lifted:
-            self._report("quarantine-lifted", {"suspect": suspect})
+        self.crash_evidence.record_cleared(suspect, now_s=now_s)
 
     def _remove_crash(self, key: str) -> None:
         """Note that the store holds a report no longer; it stays known here."""
--- a/galenashift/gateway/tests/test_crashes.py
+++ b/galenashift/gateway/tests/test_crashes.py
@@ -99,6 +99,11 @@
     return view
 
 
+def quarantined(view):
+    view.crash_evidence.decide(now_s=trio.current_time())
+    return [each.suspect for each in view.crash_evidence.quarantines]
+
+
 def new_guard(store, view, *, name="d1"):
     events = EventLog(level="error")
     return CrashGuard(
@@ -193,9 +198,7 @@
         items = tuple(sorted(store.items_by_key.values(), key=lambda item: item.key))
         snapshot = Snapshot(items=items, revision=StoreRevision(9))
         started.apply_snapshot(snapshot, now_s=trio.current_time())
-        assert [each.suspect for each in started.crash_evidence.quarantines] == [
-            "part:dead"
-        ]
+        assert quarantined(started) == ["part:dead"]
         assert not started.crash_evidence.is_suspected(["part:sys"])
 
     trio.run(run)
@@ -240,9 +243,7 @@
         await run_guard(
             guard, *(upstream_at(port, name=each) for each in UPSTREAMS), for_s=4.0
         )
-        assert [each.suspect for each in views[1].crash_evidence.quarantines] == [
-            "part:dead"
-        ]
+        assert quarantined(views[1]) == ["part:dead"]
 
     trio.run(run)
 
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -118,6 +118,8 @@
         self._completed_sent_at_s = _LatestTimes()
         self._reported_cleared_at_s = _LatestTimes()
         self._tried_at_s: dict[SuspectId, float] = {}
+        #: Whether `decide` has taken all evidence into account.
+        self._is_decided = True
 
     @property
     def has_crashes(self) -> bool:
@@ -126,12 +128,12 @@
 
     @property
     def quarantines(self) -> Collection[Quarantine]:
-        """The suspects whose requests are refused."""
+        """The suspects whose requests are refused, by the last `decide`."""
         return self._quarantine_by_suspect.values()
 
     def record_crash(
         self, crash_id: CrashId, suspects: CrashSuspects, *, now_s: float
-    ) -> QuarantineChanges:
+    ) -> None:
         """Add the suspects that a daemon reports on a crash.
 
         :param crash_id: The same for all reports on one crash.
@@ -144,7 +146,7 @@
                 self._crash_by_id.popitem(last=False)
         self._merge(crash, crash.not_begun, suspects.not_begun)
         self._merge(crash, crash.begun, suspects.begun)
-        return self._decide(now_s)
+        self._is_decided = False
 
     def record_stored(self, crash_id: CrashId, *, until_s: float) -> None:
         """Note until when the store holds a report of a crash; 0 if it was deleted."""
@@ -153,37 +155,71 @@
             crash.stored_until_s = until_s
 
     def record_completion(
-        self, suspects: Collection[SuspectId], *, sent_at_s: float, now_s: float
-    ) -> tuple[QuarantineChanges, tuple[SuspectId, ...]]:
+        self, suspects: Collection[SuspectId], *, sent_at_s: float
+    ) -> tuple[SuspectId, ...]:
         """Clear the suspects of a request that was answered completely.
 
         :param sent_at_s: Time at which it was sent to the upstream that answered it.
-        :returns: The changes, and the suspects to report as cleared to other daemons.
+        :returns: The suspects to report as cleared to other daemons.
         """
         to_report = []
-        cleared_any = False
         for suspect in suspects:
             self._completed_sent_at_s.note(suspect, sent_at_s)
             count = self._clear(suspect, before_s=sent_at_s)
-            cleared_any = cleared_any or count > 0
             if count >= _CRASHES_TO_REPORT_CLEARED:
                 to_report.append(suspect)
-        changes = self._decide(now_s) if cleared_any else _NO_CHANGES
-        return changes, tuple(to_report)
+        return tuple(to_report)
 
-    def record_cleared(self, suspect: SuspectId, *, now_s: float) -> QuarantineChanges:
+    def record_cleared(self, suspect: SuspectId, *, now_s: float) -> None:
         """Clear a suspect of all known crashes, as another daemon reports."""
         self._reported_cleared_at_s.note(suspect, now_s)
         self._completed_sent_at_s.note(suspect, now_s)
         self._clear(suspect, before_s=now_s)
-        return self._decide(now_s)
 
     def was_reported_cleared(self, suspect: SuspectId, *, since_s: float) -> bool:
         """Tell whether a daemon has reported a suspect as cleared since a time."""
         return self._reported_cleared_at_s.of(suspect) >= since_s
 
+    def decide(self, *, now_s: float) -> QuarantineChanges:
+        """Decide what is quarantined, if there is new evidence.
+
+        Many reports arrive at once when many upstreams crash, so this is done once
+        before the next request and not for each report.
+        """
+        if self._is_decided:
+            return _NO_CHANGES
+        self._is_decided = True
+        proven = self._completed_sent_at_s.since(now_s - _PROVEN_S)
+        before = self._quarantine_by_suspect
+        causes = find_causes(
+            [each.suspects for each in self._crash_by_id.values()],
+            proven=proven,
+            quarantined=before,
+        )
+        self._quarantine_by_suspect = {
+            suspect: Quarantine(
+                suspect=suspect,
+                crashes=self._count(suspect),
+                last_crash_at_s=self._last_crash_at_s(suspect),
+            )
+            for suspect in causes
+        }
+        self._drop_trials_of_unknown_suspects()
+        return QuarantineChanges(
+            begun=tuple(
+                each
+                for suspect, each in self._quarantine_by_suspect.items()
+                if suspect not in before
+            ),
+            lifted=tuple(
+                suspect
+                for suspect in before
+                if suspect not in self._quarantine_by_suspect
+            ),
+        )
+
     def find_quarantine(self, suspects: Collection[SuspectId]) -> Quarantine | None:
-        """Return a quarantine that covers a request, if there is one."""
+        """Return a quarantine that covers a request, by the last `decide`."""
         for suspect in suspects:
             quarantine = self._quarantine_by_suspect.get(suspect)
             if quarantine is not None:
@@ -227,7 +263,7 @@
                 to_store.append(crash_id)
         return tuple(to_store)
 
-    def expire(self, *, now_s: float) -> QuarantineChanges:
+    def expire(self, *, now_s: float) -> None:
         """Forget old crashes."""
         expired = [
             crash_id
@@ -236,7 +272,7 @@
         ]
         for crash_id in expired:
             del self._crash_by_id[crash_id]
-        return self._decide(now_s) if expired else _NO_CHANGES
+            self._is_decided = False
 
     def _merge(
         self, crash: _Crash, known: dict[SuspectId, int], reported: DepthBySuspect
@@ -252,41 +288,13 @@
             if crash.recorded_at_s > before_s:
                 continue
             count += crash.discard(suspect)
+        if count:
+            self._is_decided = False
         return count
 
     def _count(self, suspect: SuspectId) -> int:
         return sum(suspect in crash.suspects for crash in self._crash_by_id.values())
 
-    def _decide(self, now_s: float) -> QuarantineChanges:
-        proven = self._completed_sent_at_s.since(now_s - _PROVEN_S)
-        before = self._quarantine_by_suspect
-        causes = find_causes(
-            [each.suspects for each in self._crash_by_id.values()],
-            proven=proven,
-            quarantined=before,
-        )
-        self._quarantine_by_suspect = {
-            suspect: Quarantine(
-                suspect=suspect,
-                crashes=self._count(suspect),
-                last_crash_at_s=self._last_crash_at_s(suspect),
-            )
-            for suspect in causes
-        }
-        self._drop_trials_of_unknown_suspects()
-        return QuarantineChanges(
-            begun=tuple(
-                each
-                for suspect, each in self._quarantine_by_suspect.items()
-                if suspect not in before
-            ),
-            lifted=tuple(
-                suspect
-                for suspect in before
-                if suspect not in self._quarantine_by_suspect
-            ),
-        )
-
     def _last_crash_at_s(self, suspect: SuspectId) -> float:
         return max(
             crash.recorded_at_s
--- a/galenashift/retries/tests/test_crash_evidence.py
+++ b/galenashift/retries/tests/test_crash_evidence.py
@@ -28,10 +28,17 @@
     return evidence
 
 
-def quarantined(evidence):
+def quarantined(evidence, *, now_s=14.0):
+    evidence.decide(now_s=now_s)
     return {each.suspect for each in evidence.quarantines}
 
 
+def only_quarantine(evidence, *, now_s=14.0):
+    evidence.decide(now_s=now_s)
+    (quarantine,) = evidence.quarantines
+    return quarantine
+
+
 def test_reports_of_several_daemons_on_one_crash_count_once():
     # Each daemon with a request in flight reports the crash of an upstream.
     evidence = CrashEvidence()
@@ -57,14 +64,15 @@
 ):
     # A stream that began before its part turned deadly proves nothing about it.
     evidence = evidence_of(*[suspects("part")] * 3)
-    evidence.record_completion(["part"], sent_at_s=sent_at_s, now_s=14.0)
+    assert quarantined(evidence) == {"part"}
+    evidence.record_completion(["part"], sent_at_s=sent_at_s)
     assert quarantined(evidence) == remaining
 
 
 def test_late_report_does_not_revive_a_cleared_suspect():
     # Reports that waited for the store, and each listing of it, name it again.
     evidence = evidence_of(*[suspects("part")] * 3)
-    evidence.record_completion(["part"], sent_at_s=13.0, now_s=14.0)
+    evidence.record_completion(["part"], sent_at_s=13.0)
     for number in range(3):
         evidence.record_crash(f"c{number}", suspects("part"), now_s=15.0)
     assert quarantined(evidence) == set()
@@ -73,19 +81,18 @@
 def test_only_a_suspect_of_several_crashes_is_reported_as_cleared():
     # Most requests share parts; a report for each completion would load the store.
     evidence = evidence_of(suspects("once"), suspects("twice"), suspects("twice"))
-    _, reported = evidence.record_completion(
-        ["once", "twice", "never"], sent_at_s=13.0, now_s=14.0
-    )
+    reported = evidence.record_completion(["once", "twice", "never"], sent_at_s=13.0)
     assert reported == ("twice",)
-    _, reported = evidence.record_completion(["twice"], sent_at_s=14.0, now_s=15.0)
+    reported = evidence.record_completion(["twice"], sent_at_s=14.0)
     assert reported == ()
 
 
 def test_report_of_a_cleared_suspect_lifts_the_quarantine():
     # A sound part that is quarantined at one daemon would stay refused there.
     evidence = evidence_of(*[suspects("part")] * 3)
-    changes = evidence.record_cleared("part", now_s=14.0)
-    assert changes.lifted == ("part",)
+    assert quarantined(evidence) == {"part"}
+    evidence.record_cleared("part", now_s=14.0)
+    assert evidence.decide(now_s=14.0).lifted == ("part",)
     assert evidence.was_reported_cleared("part", since_s=14.0)
     assert not evidence.was_reported_cleared("part", since_s=14.1)
 
@@ -93,13 +100,13 @@
 def test_crashes_are_forgotten_unless_their_requests_keep_coming():
     # A quarantine that lapses while such requests come costs further crashes.
     evidence = evidence_of(*[suspects("dead")] * 3)
-    (quarantine,) = evidence.quarantines
+    quarantine = only_quarantine(evidence)
     extended_s = 12.0 + CRASH_LIFETIME_S - 10.0
     assert len(evidence.extend(quarantine, now_s=extended_s)) == 3
     evidence.expire(now_s=extended_s + CRASH_LIFETIME_S - 1.0)
     assert quarantined(evidence) == {"dead"}
-    changes = evidence.expire(now_s=extended_s + CRASH_LIFETIME_S)
-    assert changes.lifted == ("dead",)
+    evidence.expire(now_s=extended_s + CRASH_LIFETIME_S)
+    assert evidence.decide(now_s=extended_s).lifted == ("dead",)
     assert not evidence.has_crashes
 
 
@@ -107,7 +114,7 @@
     # Leases can lapse in an outage of the store; a daemon that starts then would not
     # know the quarantine.
     evidence = evidence_of(*[suspects("dead")] * 3)
-    (quarantine,) = evidence.quarantines
+    quarantine = only_quarantine(evidence)
     for number in range(3):
         evidence.record_stored(f"c{number}", until_s=12.0 + CRASH_LIFETIME_S)
     assert evidence.extend(quarantine, now_s=13.0) == ()
@@ -122,7 +129,7 @@
     now_s, trials = 12.0, 0
     for number in range(3, 60):
         now_s += _TRIAL_DELAY_S / 2
-        (quarantine,) = evidence.quarantines
+        quarantine = only_quarantine(evidence, now_s=now_s)
         if evidence.begin_trial(quarantine, now_s=now_s):
             trials += 1
             evidence.record_crash(f"c{number}", suspects("dead"), now_s=now_s)
@@ -159,7 +166,7 @@
     now_s = 0.0
     for number, (source, bystanders, delayed, random) in enumerate(steps):
         now_s += 1.0
-        if "dead" not in quarantined(daemons[source]):
+        if "dead" not in quarantined(daemons[source], now_s=now_s):
             crashes += 1
             reports = {source: ["system", "dead"]}
             for daemon, part in bystanders:
@@ -174,8 +181,8 @@
                     for target in random.sample(targets, len(targets)):
                         target.record_crash(*report, now_s=now_s + 0.2)
         completing = data.draw(st.integers(0, DAEMONS - 1))
-        _, cleared = daemons[completing].record_completion(
-            BYSTANDERS, sent_at_s=now_s + 0.5, now_s=now_s + 0.8
+        cleared = daemons[completing].record_completion(
+            BYSTANDERS, sent_at_s=now_s + 0.5
         )
         for daemon in daemons:
             for suspect in cleared:
@@ -183,7 +190,7 @@
     for target, report in late:
         target.record_crash(*report, now_s=now_s + 1.0)
     for daemon in daemons:
-        _, cleared = daemon.record_completion(
-            BYSTANDERS, sent_at_s=now_s + 2.0, now_s=now_s + 2.5
+        daemon.record_completion(BYSTANDERS, sent_at_s=now_s + 2.0)
+        assert quarantined(daemon, now_s=now_s + 2.5) == (
+            {"dead"} if crashes >= 3 else set()
         )
-        assert quarantined(daemon) == ({"dead"} if crashes >= 3 else set())
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -8,11 +8,13 @@
 import httpcore
 import trio
 
-from ._deployment import API_KEY, DaemonProcess
+from ._deployment import API_KEY, CRASHING_PART, DaemonProcess
 
 _TIMEOUT_S = 6.0
 _DEADLINE_MS = 4_000
 _MEAN_PAUSE_S = 0.05
+_STREAM_ROUTES = ("once", "again", "staged")
+_CRASHING_PART_PROBABILITY = 0.06
 _SIGNATURE_HEADER = b"galenashift-engine-signature"
 
 
@@ -117,11 +119,19 @@
             "Galenashift-Attempt-Id": attempt_id,
             "Galenashift-Deadline-Ms": str(_DEADLINE_MS),
         }
+        if route in _STREAM_ROUTES:
+            headers["Galenashift-Prefix-Hash"] = self._prompt_parts(attempt_id)
         if route == "staged":
             headers["Galenashift-Pieces"] = f"{self.random.randint(1, 3)},2"
             headers["Galenashift-Piece-Key"] = f"key-{attempt_id}"
         return headers
 
+    def _prompt_parts(self, attempt_id: str) -> str:
+        parts = ["system:90", f"user{self.random.randint(1, 5)}:9"]
+        if self.random.random() < _CRASHING_PART_PROBABILITY:
+            parts.insert(1, f"{CRASHING_PART}:9")
+        return ",".join([*parts, f"{attempt_id}:1"])
+
 
 def _find_signature(response: httpcore.Response) -> str | None:
     for name, value in response.headers:
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -22,6 +22,10 @@
 _PEER_PORT = 7740
 DOMAINS = ("a", "b", "c")
 API_KEY = "soak-key"
+#: Prompt part that some requests contain and that crashes upstreams during a fault.
+CRASHING_PART = "dead"
+#: Time for which a crashed upstream is down, in seconds.
+_RESTART_S = 0.4
 
 _SETTINGS_TEMPLATE = """
 node = "{name}"
@@ -182,6 +186,14 @@
         }
         self.store.put(f"servers/{upstream.name}", record)
 
+    async def restart(self, upstream: Upstream) -> None:
+        """Take a crashed upstream down, and bring it back as a new incarnation."""
+        forwarder = self.forwarders_by_upstream[upstream.name]
+        await trio.to_thread.run_sync(forwarder.refuse)
+        await trio.sleep(_RESTART_S)
+        forwarder.listen_again()
+        self.register(upstream)
+
     def write_config(self) -> None:
         """Write the next version of the configuration."""
         self.version += self.random.randint(1, 3)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -3,11 +3,14 @@
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 import trio
 
-from ._deployment import DOMAINS, Deployment
+from standins._platform_upstream import Kind
+
+from ._deployment import CRASHING_PART, DOMAINS, Deployment
 
 #: Longest duration of one fault, in seconds.
 _MAX_FAULT_DURATION_S = 4.0
@@ -40,6 +43,7 @@
         self._random = random
         self._clock = clock
         self.stopped = False
+        self._nursery: trio.Nursery | None = None
         self.records: list[FaultRecord] = []
         #: Violated guarantees that showed when a fault was reverted.
         self.violations: list[str] = []
@@ -65,8 +69,10 @@
             self._evacuate,
             self._configure,
             self._spoil_record,
+            self._crashing_part,
         ]
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             while not self.stopped:
                 nursery.start_soon(self._inject, self._random.choice(faults))
                 await trio.sleep(self._random.uniform(0.2, _MAX_PAUSE_S))
@@ -216,3 +222,18 @@
         await self._wait_fault_duration()
         self._deployment.store.delete("servers/unreadable")
         return "store"
+
+    async def _crashing_part(self) -> str:
+        """Let one prompt part crash the model upstreams."""
+        assert self._nursery is not None
+        deployment = self._deployment
+        models = [each for each in deployment.upstreams if each.kind is Kind.STREAM]
+        for upstream in models:
+            upstream.crashing_part = CRASHING_PART
+            upstream.on_crash = partial(
+                self._nursery.start_soon, deployment.restart, upstream
+            )
+        await self._wait_fault_duration()
+        for upstream in models:
+            upstream.crashing_part = None
+        return CRASHING_PART
--- a/soak/tests/test_crashing_parts.py
+++ b/soak/tests/test_crashing_parts.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from soak._deployment import API_KEY, Deployment
+from soak._deployment import API_KEY, CRASHING_PART, Deployment
 
 pytestmark = pytest.mark.process
 
@@ -20,7 +20,6 @@
 MAX_SENT_AFTER = 3
 #: Time for which requests with the crashing part are sent, in seconds.
 SENDING_S = 14.0
-RESTART_S = 0.4
 PAUSE_S = 0.15
 _TIMEOUT_S = 15.0
 
@@ -38,8 +37,10 @@
     async def start(self, nursery):
         await self.deployment.start(nursery, daemons=3)
         for upstream in self.models:
-            upstream.crashing_part = "dead"
-            upstream.on_crash = partial(nursery.start_soon, self.restart, upstream)
+            upstream.crashing_part = CRASHING_PART
+            upstream.on_crash = partial(
+                nursery.start_soon, self.deployment.restart, upstream
+            )
         with trio.fail_after(_TIMEOUT_S):
             while len(self.deployment.store.keys("daemons/")) < 3:
                 await trio.sleep(0.05)
@@ -54,13 +55,6 @@
     def crashed_at_s(self):
         return sorted(time_s for each in self.models for time_s in each.crashed_at_s)
 
-    async def restart(self, upstream):
-        forwarder = self.deployment.forwarders_by_upstream[upstream.name]
-        await trio.to_thread.run_sync(forwarder.refuse)
-        await trio.sleep(RESTART_S)
-        forwarder.listen_again()
-        self.deployment.register(upstream)
-
     async def send(self, daemon, parts, *, route="once"):
         attempt = f"{next(self.numbers):08x}"
         headers = {
@@ -124,7 +118,9 @@
         while time.monotonic() < end_s:
             number = next(harness.numbers)
             daemon = daemons[number % 3]
-            await harness.send(daemon, f"first:90,dead:9,own{number}:1", route=route)
+            await harness.send(
+                daemon, f"first:90,{CRASHING_PART}:9,own{number}:1", route=route
+            )
             status = await harness.send(daemon, f"first:90,own{number}:1", route=route)
             sound.append((time.monotonic(), status))
             await trio.sleep(PAUSE_S)
