--- a/galenashift/gateway/tests/test_crashes.py
+++ b/galenashift/gateway/tests/test_crashes.py
@@ -131,7 +131,7 @@
     )
 
 
-SUSPECTS = {"part:sys": 0, "part:dead": 1}
+SUSPECTS = {"part:sys": 0, "part:bad": 1}
 
 
 def suspicion_of(upstream, *, begun=False):
@@ -176,7 +176,7 @@
         assert guards[1].is_suspected(SUSPECTS)
         await run_guard(guards[1], upstream_at(port, name="u2"))
         for guard in guards:
-            assert guard.find_quarantine(SUSPECTS).suspect == "part:dead"
+            assert guard.find_quarantine(SUSPECTS).suspect == "part:bad"
             assert guard.find_quarantine({"part:sys": 0}) is None
 
     trio.run(run)
@@ -198,7 +198,7 @@
         items = tuple(sorted(store.items_by_key.values(), key=lambda item: item.key))
         snapshot = Snapshot(items=items, revision=StoreRevision(9))
         started.apply_snapshot(snapshot, now_s=trio.current_time())
-        assert quarantined(started) == ["part:dead"]
+        assert quarantined(started) == ["part:bad"]
         assert not started.crash_evidence.is_suspected(["part:sys"])
 
     trio.run(run)
@@ -243,7 +243,7 @@
         await run_guard(
             guard, *(upstream_at(port, name=each) for each in UPSTREAMS), for_s=4.0
         )
-        assert quarantined(views[1]) == ["part:dead"]
+        assert quarantined(views[1]) == ["part:bad"]
 
     trio.run(run)
 
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -238,7 +238,7 @@
 
 
 def test_request_that_could_crash_another_upstream_is_not_repeated():
-    # The repeats of one request with a deadly part crashed two upstreams.
+    # The repeats of one request with a crashing part crashed two upstreams.
     exchanger, responder = serve(
         "read", BROKEN, answered(200), crashes=FakeCrashes(suspected=True)
     )
--- a/galenashift/retries/tests/test_crash_causes.py
+++ b/galenashift/retries/tests/test_crash_causes.py
@@ -5,7 +5,7 @@
 from galenashift.model import REQUEST_DEPTH
 from galenashift.retries._crash_causes import find_causes
 
-DEPTHS = {"system": 0, "user": 0, "dead": 1, "other": 1, "request": REQUEST_DEPTH}
+DEPTHS = {"system": 0, "user": 0, "bad": 1, "other": 1, "request": REQUEST_DEPTH}
 
 
 def crash(text):
@@ -14,64 +14,64 @@
 
 CASES = {
     # Requests that differ in all but one part never added up.
-    "common part": (["dead", "dead user", "dead other"], "", "", {"dead"}),
-    "too few": (["dead", "dead user"], "", "", set()),
+    "common part": (["bad", "bad user", "bad other"], "", "", {"bad"}),
+    "too few": (["bad", "bad user"], "", "", set()),
     # The system prompt is in flight at each crash, as most requests contain it.
-    "bystander in all crashes": (["system dead"] * 3, "", "", {"dead"}),
+    "bystander in all crashes": (["system bad"] * 3, "", "", {"bad"}),
     "bystander in more crashes": (
-        ["system dead"] * 3 + ["system", "system"],
+        ["system bad"] * 3 + ["system", "system"],
         "system",
         "",
-        {"dead"},
+        {"bad"},
     ),
     # A part must not be refused for crashes that another one explains.
     "shared first part": (
-        ["user dead", "user dead", "system dead", "user dead"],
+        ["user bad", "user bad", "system bad", "user bad"],
         "",
         "",
-        {"dead"},
+        {"bad"},
     ),
-    "two causes": (["dead"] * 3 + ["other"] * 3, "", "", {"dead", "other"}),
+    "two causes": (["bad"] * 3 + ["other"] * 3, "", "", {"bad", "other"}),
     # Only the same request was sent: other requests with its parts are served.
-    "same request": (["system dead request"] * 3, "", "", {"request"}),
+    "same request": (["system bad request"] * 3, "", "", {"request"}),
     # Its repeats by the caller would bring the crashes of its parts to the threshold.
-    "same request twice": (["system dead request"] * 2, "", "", {"request"}),
+    "same request twice": (["system bad request"] * 2, "", "", {"request"}),
     "same request, then another one": (
-        ["system dead request"] * 2 + ["user dead"],
+        ["system bad request"] * 2 + ["user bad"],
         "",
         "request",
-        {"dead"},
+        {"bad"},
     ),
     "same request and others": (
-        ["system dead request"] * 3 + ["user dead"],
+        ["system bad request"] * 3 + ["user bad"],
         "",
         "",
-        {"dead"},
+        {"bad"},
     ),
     "completed recently": (["system"] * 3, "system", "", set()),
     "completed recently, one more crash": (["system"] * 4, "system", "", {"system"}),
     # A quarantined part adds no crashes, and must not be served again because
     # another cause was in flight at some of its crashes.
     "quarantined, partly explained": (
-        ["dead", "dead other", "dead other", "other", "other"],
+        ["bad", "bad other", "bad other", "other", "other"],
         "",
-        "dead",
-        {"dead", "other"},
+        "bad",
+        {"bad", "other"},
     ),
-    # One more crash with a bystander is no reason to serve a deadly part again.
+    # One more crash with a bystander is no reason to serve a crashing part again.
     "quarantined, and a bystander in one more crash": (
-        ["system dead"] * 3 + ["system"],
+        ["system bad"] * 3 + ["system"],
         "",
-        "dead",
-        {"dead"},
+        "bad",
+        {"bad"},
     ),
     "quarantined, fully explained": (
-        ["system dead"] * 3 + ["user dead", "other dead"],
+        ["system bad"] * 3 + ["user bad", "other bad"],
         "",
         "system",
-        {"dead"},
+        {"bad"},
     ),
-    "none": ([], "", "dead", set()),
+    "none": ([], "", "bad", set()),
     "all cleared": (["", ""], "", "", set()),
 }
 
--- a/galenashift/retries/tests/test_crash_evidence.py
+++ b/galenashift/retries/tests/test_crash_evidence.py
@@ -43,14 +43,14 @@
     # Each daemon with a request in flight reports the crash of an upstream.
     evidence = CrashEvidence()
     for now_s in (1.0, 1.1, 1.2):
-        evidence.record_crash("c0", suspects("dead"), now_s=now_s)
+        evidence.record_crash("c0", suspects("bad"), now_s=now_s)
     assert quarantined(evidence) == set()
 
 
 def test_request_whose_answer_had_begun_is_a_suspect_only_where_there_is_no_other():
     # Long streams are in flight at many crashes that they do not cause.
-    crashes = [suspects("dead", begun=("long",))] * 3
-    assert quarantined(evidence_of(*crashes)) == {"dead"}
+    crashes = [suspects("bad", begun=("long",))] * 3
+    assert quarantined(evidence_of(*crashes)) == {"bad"}
     assert quarantined(evidence_of(*[suspects(begun=("long",))] * 3)) == {"long"}
 
 
@@ -62,7 +62,7 @@
 def test_completion_clears_only_crashes_before_its_request_was_sent(
     sent_at_s, remaining
 ):
-    # A stream that began before its part turned deadly proves nothing about it.
+    # A stream that was sent before the first crash proves nothing about its part.
     evidence = evidence_of(*[suspects("part")] * 3)
     assert quarantined(evidence) == {"part"}
     evidence.record_completion(["part"], sent_at_s=sent_at_s)
@@ -99,21 +99,21 @@
 
 def test_crashes_are_forgotten_unless_their_requests_keep_coming():
     # A quarantine that lapses while such requests come costs further crashes.
-    evidence = evidence_of(*[suspects("dead")] * 3)
+    evidence = evidence_of(*[suspects("bad")] * 3)
     quarantine = only_quarantine(evidence)
     extended_s = 12.0 + CRASH_LIFETIME_S - 10.0
     assert len(evidence.extend(quarantine, now_s=extended_s)) == 3
     evidence.expire(now_s=extended_s + CRASH_LIFETIME_S - 1.0)
-    assert quarantined(evidence) == {"dead"}
+    assert quarantined(evidence) == {"bad"}
     evidence.expire(now_s=extended_s + CRASH_LIFETIME_S)
-    assert evidence.decide(now_s=extended_s).lifted == ("dead",)
+    assert evidence.decide(now_s=extended_s).lifted == ("bad",)
     assert not evidence.has_crashes
 
 
 def test_reports_are_stored_again_after_they_were_deleted():
     # Leases can lapse in an outage of the store; a daemon that starts then would not
     # know the quarantine.
-    evidence = evidence_of(*[suspects("dead")] * 3)
+    evidence = evidence_of(*[suspects("bad")] * 3)
     quarantine = only_quarantine(evidence)
     for number in range(3):
         evidence.record_stored(f"c{number}", until_s=12.0 + CRASH_LIFETIME_S)
@@ -125,14 +125,14 @@
 
 def test_trials_are_rare_and_end():
     # A wrong quarantine must end; each trial of a right one crashes an upstream.
-    evidence = evidence_of(*[suspects("dead")] * 3)
+    evidence = evidence_of(*[suspects("bad")] * 3)
     now_s, trials = 12.0, 0
     for number in range(3, 60):
         now_s += _TRIAL_DELAY_S / 2
         quarantine = only_quarantine(evidence, now_s=now_s)
         if evidence.begin_trial(quarantine, now_s=now_s):
             trials += 1
-            evidence.record_crash(f"c{number}", suspects("dead"), now_s=now_s)
+            evidence.record_crash(f"c{number}", suspects("bad"), now_s=now_s)
     assert trials == _MAX_TRIED_CRASHES - 3
 
 
@@ -166,9 +166,9 @@
     now_s = 0.0
     for number, (source, bystanders, delayed, random) in enumerate(steps):
         now_s += 1.0
-        if "dead" not in quarantined(daemons[source], now_s=now_s):
+        if "bad" not in quarantined(daemons[source], now_s=now_s):
             crashes += 1
-            reports = {source: ["system", "dead"]}
+            reports = {source: ["system", "bad"]}
             for daemon, part in bystanders:
                 reports.setdefault(daemon, []).append(part)
             for reporter, parts in reports.items():
@@ -192,5 +192,5 @@
     for daemon in daemons:
         daemon.record_completion(BYSTANDERS, sent_at_s=now_s + 2.0)
         assert quarantined(daemon, now_s=now_s + 2.5) == (
-            {"dead"} if crashes >= 3 else set()
+            {"bad"} if crashes >= 3 else set()
         )
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -23,7 +23,7 @@
 DOMAINS = ("a", "b", "c")
 API_KEY = "soak-key"
 #: Prompt part that some requests contain and that crashes upstreams during a fault.
-CRASHING_PART = "dead"
+CRASHING_PART = "bad"
 #: Time for which a crashed upstream is down, in seconds.
 _RESTART_S = 0.4
 
