Keep sound requests that many callers send alike out of quarantine

Completions counted for it only once a crash was known. Change: a request is a cause from three crashes on, as a part is; each completed request counts for its digest as well; a suspect that completed before is tried after seconds. A stand-in waits for its address to become free again.

--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -67,9 +67,7 @@
 
         :param sent_at_s: Boot-time clock at which it was sent there, in seconds.
         """
-        # The digest of a large body takes long, and helps only if there is a crash.
-        suspects = job.suspects if self._crashes.has_crashes else job.part_suspects
-        self._crashes.complete(suspects, sent_at_s=sent_at_s)
+        self._crashes.complete(job.suspects, sent_at_s=sent_at_s)
 
     async def forbids_retry(
         self, job: ActiveRequest, suspicion: Suspicion | None
--- a/galenashift/gateway/_request.py
+++ b/galenashift/gateway/_request.py
@@ -90,15 +90,13 @@
             body=self.request.body,
         )
 
-    @cached_property
-    def part_suspects(self) -> Mapping[SuspectId, int]:
-        """Prompt parts that may crash an upstream, with their positions."""
-        return part_suspects(self.fields.prompt_parts)
-
     @cached_property
     def suspects(self) -> Mapping[SuspectId, int]:
         """All that may crash an upstream, with depths: prompt parts and the request."""
-        return {**self.part_suspects, **request_suspect(self.fingerprint)}
+        return {
+            **part_suspects(self.fields.prompt_parts),
+            **request_suspect(self.fingerprint),
+        }
 
     @property
     def may_have_run(self) -> bool:
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -235,6 +235,7 @@
     crashes = FakeCrashes()
     serve("stream", outcome, REFUSED, crashes=crashes, headers=PARTS)
     assert len(crashes.completed) == completed
+    assert all({"part:sys", "part:user"} < each for each in crashes.completed)
 
 
 def test_request_that_could_crash_another_upstream_is_not_repeated():
--- a/galenashift/retries/_crash_causes.py
+++ b/galenashift/retries/_crash_causes.py
@@ -6,11 +6,8 @@
 
 from galenashift.model import REQUEST_DEPTH, DepthBySuspect, SuspectId
 
-#: Crashes without another explanation after which a prompt part counts as their cause.
-CRASHES_OF_PART = 3
-#: The same for a whole request: bystanders are seldom in flight at two crashes, and
-#: further repeats of one request would hide which of its parts is the cause.
-CRASHES_OF_REQUEST = 2
+#: Crashes without another explanation after which a suspect counts as their cause.
+CRASHES_OF_CAUSE = 3
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -21,22 +18,17 @@
     proven: bool
     quarantined: bool
 
-    @property
-    def is_request(self) -> bool:
-        return self.depth == REQUEST_DEPTH
-
     @property
     def weight(self) -> int:
         # Requests with a quarantined part do not run and add no more crashes. A request
         # is only one of those with its parts, so a part with more crashes replaces it.
-        bonus = self.quarantined and not self.is_request
+        bonus = self.quarantined and self.depth < REQUEST_DEPTH
         return self.crashes - self.proven + bonus
 
     @property
     def is_cause(self) -> bool:
         """Whether the suspect explains what no better candidate explains."""
-        needed = CRASHES_OF_REQUEST if self.is_request else CRASHES_OF_PART
-        return self.quarantined or self.crashes - self.proven >= needed
+        return self.quarantined or self.crashes - self.proven >= CRASHES_OF_CAUSE
 
     @property
     def rank(self) -> tuple[bool, int, int, SuspectId]:
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -10,7 +10,7 @@
 
 from galenashift.model import CrashId, CrashSuspects, DepthBySuspect, SuspectId
 
-from ._crash_causes import CRASHES_OF_PART, find_causes
+from ._crash_causes import CRASHES_OF_CAUSE, find_causes
 
 #: Time for which a crash is remembered after it, and after the last request with its
 #: cause, in seconds.
@@ -20,10 +20,13 @@
 #: Time from the last crash of a cause to its first trial, in seconds; it doubles with
 #: each further crash.
 _TRIAL_DELAY_S = 60.0
+#: The same for a cause with which a request has completed before, in seconds. It is
+#: probably a bystander that many requests share, and they are all refused meanwhile.
+_TRIAL_DELAY_OF_PROVEN_S = 2.0
 #: Time for which a completed request counts in favour of its suspects, in seconds.
 _PROVEN_S = 30.0
 #: Crashes of a suspect from which other daemons are told that it was cleared.
-_CRASHES_TO_REPORT_CLEARED = CRASHES_OF_PART - 1
+_CRASHES_TO_REPORT_CLEARED = CRASHES_OF_CAUSE - 1
 #: Time within which a report is expected to be stored, in seconds.
 _STORE_WAIT_S = 5.0
 #: Crashes that are remembered; the oldest is dropped.
@@ -228,7 +231,7 @@
 
     def is_suspected(self, suspects: Collection[SuspectId]) -> bool:
         """Tell whether one more crash could quarantine a suspect of a request."""
-        return any(self._count(suspect) >= CRASHES_OF_PART - 1 for suspect in suspects)
+        return any(self._count(suspect) >= CRASHES_OF_CAUSE - 1 for suspect in suspects)
 
     def begin_trial(self, quarantine: Quarantine, *, now_s: float) -> bool:
         """Tell whether to send one request in spite of a quarantine, and note it.
@@ -237,8 +240,10 @@
         """
         if quarantine.crashes >= _MAX_TRIED_CRASHES:
             return False
-        excess = max(0, quarantine.crashes - CRASHES_OF_PART)
-        delay_s = _TRIAL_DELAY_S * 2**excess
+        excess = max(0, quarantine.crashes - CRASHES_OF_CAUSE)
+        has_completed = self._completed_sent_at_s.of(quarantine.suspect) > -inf
+        first_s = _TRIAL_DELAY_OF_PROVEN_S if has_completed else _TRIAL_DELAY_S
+        delay_s = first_s * 2**excess
         last_s = max(
             quarantine.last_crash_at_s,
             self._tried_at_s.get(quarantine.suspect, 0.0),
--- a/galenashift/retries/tests/test_crash_evidence.py
+++ b/galenashift/retries/tests/test_crash_evidence.py
@@ -136,6 +136,17 @@
     assert trials == _MAX_TRIED_CRASHES - 3
 
 
+def test_suspect_that_completed_before_is_tried_soon():
+    # Callers that send the same sound request were refused for a minute after it had
+    # been in flight at some crashes (soak, seed 1008).
+    evidence = evidence_of(*[suspects("request")] * 4)
+    evidence.record_completion(["request"], sent_at_s=9.0)
+    quarantine = only_quarantine(evidence)
+    assert not evidence.begin_trial(quarantine, now_s=16.0)
+    assert evidence.begin_trial(quarantine, now_s=18.0)
+    assert not evidence.begin_trial(quarantine, now_s=18.1)
+
+
 def test_known_crashes_are_bounded():
     evidence = evidence_of(*[suspects(f"part{n}") for n in range(2 * _MAX_CRASHES)])
     assert len(evidence._crash_by_id) == _MAX_CRASHES
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -26,6 +26,8 @@
 CRASHING_PART = "bad"
 #: Time for which a crashed upstream is down, in seconds.
 _RESTART_S = 0.4
+#: Time within which its address becomes free again, in seconds.
+_LISTEN_TIMEOUT_S = 30.0
 
 _SETTINGS_TEMPLATE = """
 node = "{name}"
@@ -191,7 +193,9 @@
         forwarder = self.forwarders_by_upstream[upstream.name]
         await trio.to_thread.run_sync(forwarder.refuse)
         await trio.sleep(_RESTART_S)
-        forwarder.listen_again()
+        with trio.fail_after(_LISTEN_TIMEOUT_S):
+            while not forwarder.listen_again():
+                await trio.sleep(_RESTART_S)
         self.register(upstream)
 
     def write_config(self) -> None:
--- a/testbed/_forwarder.py
+++ b/testbed/_forwarder.py
@@ -68,9 +68,16 @@
         self._stop_listening()
         self._close_open()
 
-    def listen_again(self) -> None:
-        """Listen at the same address after `refuse`."""
-        self._listener = self._listen(self._port)
+    def listen_again(self) -> bool:
+        """Listen at the same address after `refuse`.
+
+        :returns: False if an outgoing connection uses the port at present.
+        """
+        try:
+            self._listener = self._listen(self._port)
+        except OSError:
+            return False
+        return True
 
     def _listen(self, port: int) -> socket.socket:
         listener = socket.create_server(("127.0.0.1", port))
