Resume begun streams at once, and count only successes as completions

Cause: found in the read-through. A stream that had begun was not resumed when it shared a part with two crashes, and waited for the probe; an answer such as 404, which begins no generation, cleared the parts of its request. Change: only requests without a whole event wait and may be kept from a second attempt, and not for parts that completed recently; only answers below 300 clear.

--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -72,9 +72,14 @@
     async def forbids_retry(
         self, job: ActiveRequest, suspicion: Suspicion | None
     ) -> bool:
-        """Tell whether a request is not repeated as it may crash the next upstream."""
+        """Tell whether a request is not repeated as it may crash the next upstream.
+
+        A stream that had begun is resumed in any case.
+        """
         if suspicion is None or not job.route.repeatable:
             return False
+        if not suspicion.suspects.not_begun:
+            return False
         with trio.move_on_after(_EXAMINATION_TIMEOUT_S):
             await suspicion.examined.wait()
         return self._crashes.is_suspected(job.suspects)
--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -179,7 +179,7 @@
 
     def is_suspected(self, suspects: Mapping[SuspectId, int]) -> bool:
         """Tell whether one more crash could quarantine a request."""
-        return self._evidence.is_suspected(suspects)
+        return self._evidence.is_suspected(suspects, now_s=self._clock())
 
     def suspect(self, suspicion: Suspicion) -> None:
         """Queue a probe of the upstream whose connection broke."""
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -62,6 +62,7 @@
 #: so the limit must be small compared to the memory of an instance.
 MAX_ANSWER_BYTES = 8_000_000
 
+_REDIRECTION = 300
 _SERVER_ERROR = 500
 
 
@@ -342,7 +343,7 @@
                     return _RETRY
                 if responder.status is not None:
                     return resume_failure(head.status)
-                if head.status < _SERVER_ERROR:
+                if head.status < _REDIRECTION:
                     self._crash_policy.complete(job, sent_at_s=writer.sent_at_s)
                 await _deliver(responder, outcome)
                 return None
--- a/galenashift/gateway/tests/test_crashes.py
+++ b/galenashift/gateway/tests/test_crashes.py
@@ -199,7 +199,9 @@
         snapshot = Snapshot(items=items, revision=StoreRevision(9))
         started.apply_snapshot(snapshot, now_s=trio.current_time())
         assert quarantined(started) == ["part:bad"]
-        assert not started.crash_evidence.is_suspected(["part:sys"])
+        assert not started.crash_evidence.is_suspected(
+            ["part:sys"], now_s=trio.current_time()
+        )
 
     trio.run(run)
 
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -227,6 +227,7 @@
         (StreamEnded(complete=True, started=True, detail=""), 1),
         (StreamEnded(complete=False, started=True, detail=""), 0),
         (answered(500), 0),
+        (answered(404), 0),
         (REFUSED, 0),
     ],
 )
@@ -247,6 +248,15 @@
     assert responder.status == 502
 
 
+def test_stream_that_had_begun_is_resumed_although_it_is_suspected():
+    # Its prompt did not crash the upstream, and its caller waits for the rest.
+    broken_stream = StreamEnded(complete=False, started=True, detail="reset")
+    complete_stream = StreamEnded(complete=True, started=True, detail="")
+    crashes = FakeCrashes(suspected=True)
+    _, responder = serve("resumed", broken_stream, complete_stream, crashes=crashes)
+    assert responder.finished
+
+
 def test_unsent_request_is_refused_before_the_process_ends():
     # The connection of a request that waited for its stages was closed without an
     # answer when the daemon exited after SIGTERM.
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -229,9 +229,13 @@
                 return quarantine
         return None
 
-    def is_suspected(self, suspects: Collection[SuspectId]) -> bool:
+    def is_suspected(self, suspects: Collection[SuspectId], *, now_s: float) -> bool:
         """Tell whether one more crash could quarantine a suspect of a request."""
-        return any(self._count(suspect) >= CRASHES_OF_CAUSE - 1 for suspect in suspects)
+        proven = self._completed_sent_at_s.since(now_s - _PROVEN_S)
+        return any(
+            self._count(suspect) - (suspect in proven) >= CRASHES_OF_CAUSE - 1
+            for suspect in suspects
+        )
 
     def begin_trial(self, quarantine: Quarantine, *, now_s: float) -> bool:
         """Tell whether to send one request in spite of a quarantine, and note it.
--- a/galenashift/retries/tests/test_crash_evidence.py
+++ b/galenashift/retries/tests/test_crash_evidence.py
@@ -147,6 +147,18 @@
     assert not evidence.begin_trial(quarantine, now_s=18.1)
 
 
+@pytest.mark.parametrize(("completed", "suspected"), [(False, True), (True, False)])
+def test_request_is_suspected_from_two_crashes_unless_it_completed(
+    completed, suspected
+):
+    # A request that could crash one more upstream is not repeated, and parts that most
+    # requests contain must not keep them from a second attempt.
+    evidence = evidence_of(*[suspects("part")] * 2)
+    if completed:
+        evidence.record_completion(["part"], sent_at_s=9.0)
+    assert evidence.is_suspected(["part"], now_s=14.0) is suspected
+
+
 def test_known_crashes_are_bounded():
     evidence = evidence_of(*[suspects(f"part{n}") for n in range(2 * _MAX_CRASHES)])
     assert len(evidence._crash_by_id) == _MAX_CRASHES
