--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -240,7 +240,8 @@
         thread.start()
     for thread in threads:
         thread.join(40)
-    assert sorted(reply.status for reply in replies) == [200, 409]
+    statuses = sorted(reply.status for reply in replies)
+    assert statuses == [200, 409], [reply.json() for reply in replies]
     loser = next(number for number in (0, 1) if replies[number].status == 409)
     error = replies[loser].json()["error"]
     assert (error["reason"], error["verdict"]) == ("stale-plan", "not-run")
