--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 from hashlib import blake2b
 
 import trio
@@ -58,6 +59,16 @@
     examined: trio.Event = field(default_factory=trio.Event, compare=False)
 
 
+class _Probe(Enum):
+    """How an address responds to a new connection."""
+
+    REFUSED = "refused"
+    ACCEPTED = "accepted"
+    NO_ANSWER = "no-answer"
+    #: The upstream is not in use, so its address was not probed.
+    NOT_PROBED = "not-probed"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Trial:
     """A request that is sent to find out whether a quarantine is right."""
@@ -221,7 +232,8 @@
         upstream = suspicion.upstream
         in_use = self._view.accepts_requests(upstream, now_s=self._clock())
         await trio.sleep(_PROBE_DELAY_S)
-        crashed = in_use and await _refuses_connections(upstream)
+        probe = await _probe(upstream) if in_use else _Probe.NOT_PROBED
+        crashed = probe is _Probe.REFUSED
         self._events.warning(
             "upstream-crashed" if crashed else "crash-not-confirmed",
             upstream=upstream.upstream_id,
@@ -229,7 +241,7 @@
             attempt=suspicion.attempt_id,
             suspects=",".join(suspicion.suspects.not_begun),
             begun=",".join(suspicion.suspects.begun),
-            in_use=in_use,
+            probe=probe,
         )
         if crashed:
             self._record(suspicion)
@@ -274,10 +286,10 @@
         return len(ranked)
 
 
-async def _refuses_connections(upstream: RegisteredUpstream) -> bool:
+async def _probe(upstream: RegisteredUpstream) -> _Probe:
     try:
         sock = await open_socket(host=upstream.host, port=upstream.port)
     except ConnectFailed as error:
-        return error.refused
+        return _Probe.REFUSED if error.refused else _Probe.NO_ANSWER
     sock.close()
-    return False
+    return _Probe.ACCEPTED
