--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -198,6 +198,13 @@
                 await trio.sleep(_RESTART_S)
         self.register(upstream)
 
+    async def replace(self, upstream: Upstream) -> None:
+        """Replace a crashed upstream at once by one that listens at its address."""
+        forwarder = self.forwarders_by_upstream[upstream.name]
+        await trio.to_thread.run_sync(forwarder.cut)
+        forwarder.restore()
+        self.register(upstream)
+
     def write_config(self) -> None:
         """Write the next version of the configuration."""
         self.version += self.random.randint(1, 3)
--- a/standins/_platform_upstream.py
+++ b/standins/_platform_upstream.py
@@ -65,6 +65,8 @@
     running: int = 0
     #: Prompt part that crashes the upstream when the answer to a prompt with it begins.
     crashing_part: str | None = None
+    #: Body of a request that crashes the upstream when its execution begins.
+    crashing_body: bytes | None = None
     #: Called at a crash; closes all connections of the upstream.
     on_crash: Callable[[], None] = lambda: None
     #: Times of the crashes, on `clock`.
@@ -115,6 +117,9 @@
             target=request.target,
         )
         self.executions.append(execution)
+        if request.body == self.crashing_body:
+            self._record_crash()
+            raise Reset
         await trio.sleep(self.work_s * self.slow_factor)
         if self.random.random() < self.answer_loss_probability:
             raise Reset
@@ -137,9 +142,12 @@
     async def _crash(self, attempt: str) -> AsyncIterator[bytes]:
         yield f"id: 1\ndata: {attempt}"[:-4].encode()
         await trio.sleep(self.work_s)
+        self._record_crash()
+        raise Reset
+
+    def _record_crash(self) -> None:
         self.crashed_at_s.append(self.clock())
         self.on_crash()
-        raise Reset
 
     async def _stream(self, attempt: str, after: int) -> AsyncIterator[bytes]:
         break_at_event = self.events + 1
