Count crashes whose upstream is back before the probe

Callers saw: a request that crashes upstreams went on reaching them, one after the other, and sound requests lost their upstreams. Cause: a crash was proved only by a connection that is refused 50 ms after the break. Where another process listens at the address by then, no crash was ever counted. Ruled out: probing again, as a later probe meets the new process, too; and counting broken connections without a proof, as lost answers would quarantine sound requests. Why this works: an incarnation that was replaced has ended, however fast. Conclusion: the class of fault is closed here; that the users saw it is not shown.

--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -5,10 +5,11 @@
 from galenashift.model import CrashSuspects, Failure, RegisteredUpstream
 from galenashift.retries import Quarantine
 
-from ._crashes import CrashGuard, Suspicion, Trial
+from ._crashes import CrashGuard, Trial
 from ._exchange import Broken, Outcome, StreamEnded
 from ._failures import quarantine_failure
 from ._request import ActiveRequest
+from ._unconfirmed_crashes import Suspicion
 
 #: Longest wait for the examination of a crash before a retry, in seconds.
 _EXAMINATION_TIMEOUT_S = 0.5
@@ -47,8 +48,13 @@
         job: ActiveRequest,
         upstream: RegisteredUpstream,
         outcome: Outcome,
+        *,
+        now_s: float,
     ) -> Suspicion | None:
-        """Report a suspected crash if the connection ended before the answer did."""
+        """Report a suspected crash if the connection ended before the answer did.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
         match outcome:
             case Broken(reset=True):
                 suspects = CrashSuspects(not_begun=job.suspects, begun={})
@@ -57,7 +63,10 @@
             case _:
                 return None
         suspicion = Suspicion(
-            attempt_id=job.fields.attempt_id, upstream=upstream, suspects=suspects
+            attempt_id=job.fields.attempt_id,
+            upstream=upstream,
+            suspects=suspects,
+            at_s=now_s,
         )
         self._crashes.suspect(suspicion)
         return suspicion
--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -1,7 +1,7 @@
 """Detects crashes of upstreams, and refuses requests with what causes them."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
 
@@ -30,12 +30,15 @@
 
 from ._connection import ConnectFailed, open_socket
 from ._crash_reports import CrashReporter
+from ._unconfirmed_crashes import Suspicion, UnconfirmedCrashes
 from ._view import PlatformView
 
 #: Time from a broken connection to the probe of its upstream, in seconds.
 _PROBE_DELAY_S = 0.05
 #: Suspected crashes that wait to be examined; further ones are logged and dropped.
 _MAX_PENDING_SUSPICIONS = 100
+#: Time between two checks of unconfirmed suspicions, in seconds.
+_CONFIRMATION_INTERVAL_S = 0.25
 #: Time between two checks for crashes to forget, in seconds.
 _EXPIRY_INTERVAL_S = 2.0
 #: Daemons that report a cleared suspect at different times, so that the report of the
@@ -47,18 +50,6 @@
 _MAX_OWN_CRASHES = 64
 
 
-@dataclass(frozen=True, kw_only=True)
-class Suspicion:
-    """A request that was in flight when its upstream closed the connection."""
-
-    attempt_id: str
-    upstream: RegisteredUpstream
-    #: What in the request may have caused the crash.
-    suspects: CrashSuspects
-    #: Set when the suspicion has been confirmed or dropped.
-    examined: trio.Event = field(default_factory=trio.Event, compare=False)
-
-
 class _Probe(Enum):
     """How an address responds to a new connection."""
 
@@ -96,7 +87,7 @@
     """Gathers evidence on crashes and refuses requests with a quarantined suspect.
 
     A broken connection alone does not prove a crash: the upstream must be in use, and
-    its address must refuse a new connection.
+    its address must refuse a new connection, or another process must take its place.
 
     :param view: Holds the evidence, as reported by all daemons.
     :param clock: Boot-time clock.
@@ -120,6 +111,7 @@
         self._metrics = metrics
         self._clock = clock
         self._own_suspects_by_crash: dict[CrashId, CrashSuspects] = {}
+        self._unconfirmed = UnconfirmedCrashes()
         self._suspicion_sender, self._suspicion_receiver = trio.open_memory_channel[
             Suspicion
         ](_MAX_PENDING_SUSPICIONS)
@@ -218,6 +210,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._reporter.run)
             nursery.start_soon(self._forget_old_crashes)
+            nursery.start_soon(self._confirm_later)
             nursery.start_soon(self._report_cleared, nursery)
             async for suspicion in self._suspicion_receiver:
                 nursery.start_soon(self._examine, suspicion)
@@ -228,6 +221,23 @@
             self._evidence.expire(now_s=self._clock())
             self._decide()
 
+    async def _confirm_later(self) -> None:
+        """Count crashes that the registrations of upstreams prove."""
+        while True:
+            await trio.sleep(_CONFIRMATION_INTERVAL_S)
+            now_s = self._clock()
+            for suspicion in self._unconfirmed.take_confirmed(self._view, now_s=now_s):
+                self._events.warning(
+                    "upstream-replaced",
+                    upstream=suspicion.upstream.upstream_id,
+                    request_id=None,
+                    attempt=suspicion.attempt_id,
+                    suspects=",".join(suspicion.suspects.not_begun),
+                    begun=",".join(suspicion.suspects.begun),
+                    age_s=now_s - suspicion.at_s,
+                )
+                self._record(suspicion)
+
     async def _examine(self, suspicion: Suspicion) -> None:
         upstream = suspicion.upstream
         in_use = self._view.accepts_requests(upstream, now_s=self._clock())
@@ -245,12 +255,14 @@
         )
         if crashed:
             self._record(suspicion)
+        elif in_use:
+            self._unconfirmed.add(suspicion)
         suspicion.examined.set()
 
     def _record(self, suspicion: Suspicion) -> None:
         self._metrics.count("upstream_crashes_total")
         crash_id = crash_id_of(suspicion.upstream)
-        self._evidence.record_crash(crash_id, suspicion.suspects, now_s=self._clock())
+        self._evidence.record_crash(crash_id, suspicion.suspects, now_s=suspicion.at_s)
         own = suspicion.suspects
         earlier = self._own_suspects_by_crash.get(crash_id)
         if earlier is not None:
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -321,7 +321,7 @@
             job, upstream_id, outcome, writer, ejected=ejected, now_s=now_s
         )
         suspicion = self._crash_policy.suspect(
-            job, choice.upstream.registration, outcome
+            job, choice.upstream.registration, outcome, now_s=now_s
         )
         match outcome:
             case NotSent():
--- a/galenashift/gateway/tests/test_crashes.py
+++ b/galenashift/gateway/tests/test_crashes.py
@@ -6,7 +6,8 @@
 import trio.testing
 
 from galenashift.gateway._crash_reports import CrashReporter
-from galenashift.gateway._crashes import CrashGuard, Suspicion, Trial, fingerprint
+from galenashift.gateway._crashes import CrashGuard, Trial, fingerprint
+from galenashift.gateway._unconfirmed_crashes import Suspicion
 from galenashift.gateway._view import PlatformView
 from galenashift.gateway.tests.test_view import upstream_item
 from galenashift.model import (
@@ -141,6 +142,7 @@
         suspects=CrashSuspects(
             not_begun={} if begun else SUSPECTS, begun=SUSPECTS if begun else {}
         ),
+        at_s=trio.current_time(),
     )
 
 
@@ -223,6 +225,30 @@
     trio.run(run)
 
 
+def test_crash_counts_once_another_process_listens_at_the_address():
+    # A fast restart, or a probe that was delayed, would hide each crash, and its cause
+    # could crash upstreams without limit.
+    async def run():
+        view = new_view(*UPSTREAMS)
+        guard = new_guard(SharedStore(view), view)
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(guard.run)
+            for each in UPSTREAMS:
+                guard.suspect(suspicion_of(upstream_at(port, name=each)))
+            await trio.sleep(0.2)
+            assert not guard.has_crashes
+            for each in UPSTREAMS:
+                view.apply(upstream_item(each, born=2), now_s=trio.current_time())
+            await trio.sleep(0.5)
+            nursery.cancel_scope.cancel()
+        assert guard.find_quarantine(SUSPECTS).suspect == "part:bad"
+        await listener.aclose()
+
+    trio.run(run)
+
+
 def test_end_of_an_upstream_that_has_left_is_not_a_crash():
     # Upstreams that are replaced cut what they have not finished when they exit.
     async def run():
