Decode and log the rate limits that upstreams state

Cause: no log line tells whether Server-Limit has reached a daemon, so the hypotheses on the incident can't be told apart. Change: the header is decoded into a typed field of each answer: a decimal number, or an unreadable value (text, negative, nan, inf, exponents, thousands of digits, several headers). The daemon logs each change of the limit of an upstream, when the head of an answer arrives. Nothing acts on it yet.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -43,6 +43,7 @@
 from ._store_watch import Registration, StoreWatch
 from ._supervisor import Supervisor, Task
 from ._times import ServiceLatencies
+from ._upstream_limits import UpstreamLimiter
 from ._view import PlatformView
 
 #: Port of the metrics endpoint.
@@ -104,7 +105,8 @@
             events=self._events,
         )
         latencies = ServiceLatencies()
-        exchanger = Exchanger(pool=self._pool, clock=clock)
+        limiter = UpstreamLimiter(events=self._events)
+        exchanger = Exchanger(pool=self._pool, limiter=limiter, clock=clock)
         self._scheduler = StageScheduler(
             view=self._view,
             exchanger=exchanger,
--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -18,6 +19,7 @@
     UpstreamConnection,
 )
 from ._pool import ConnectionPool
+from ._upstream_limits import UpstreamLimiter
 
 #: Largest answer to an earlier request that is read and skipped, in bytes.
 _MAX_SKIPPED_BYTES = 65_536
@@ -114,11 +116,20 @@
 
 class Exchanger:
     """Sends requests over pooled connections.
+
+    :param limiter: Learns the limits that upstreams state in their answers.
     :param clock: Boot-time clock.
     """
 
-    def __init__(self, *, pool: ConnectionPool, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        pool: ConnectionPool,
+        limiter: UpstreamLimiter,
+        clock: Callable[[], float],
+    ) -> None:
         self._pool = pool
+        self._limiter = limiter
         self._clock = clock
 
     def close_idle(self, upstream_id: UpstreamId) -> None:
@@ -156,9 +167,15 @@
         try:
             if not may_send():
                 return NotSent(detail="the upstream no longer accepts requests")
-            outcome, reusable = await self._send_and_read(
-                connection, request, timeouts, sink, is_whole
+            reader = _Reader(
+                connection=connection,
+                request=request,
+                timeouts=timeouts,
+                sink=sink,
+                is_whole=is_whole,
+                on_fields=partial(self._record_fields, upstream),
             )
+            outcome, reusable = await self._send_and_read(connection, request, reader)
             return outcome
         finally:
             if reusable:
@@ -166,13 +183,16 @@
             else:
                 connection.close()
 
+    def _record_fields(
+        self, upstream: RegisteredUpstream, fields: AnswerFields
+    ) -> None:
+        self._limiter.record_answer(upstream, fields, now_s=self._clock())
+
     async def _send_and_read(
         self,
         connection: UpstreamConnection,
         request: OutgoingRequest,
-        timeouts: ExchangeTimeouts,
-        sink: StreamSink | None,
-        is_whole: Callable[[], bool],
+        reader: "_Reader",
     ) -> tuple[Outcome, bool]:
         # The request is encoded before anything is read, so that a close of the
         # connection counts as a failure of this request even if it arrives first.
@@ -185,7 +205,6 @@
             )
         except ConnectionFailed as error:
             return NotSent(detail=str(error)), False
-        reader = _Reader(connection, request, timeouts, sink, is_whole)
         sent = trio.Event()
 
         async def send() -> None:
@@ -231,21 +250,27 @@
 
     The upstream may answer before it has read the whole request body, so the answer is
     read while the request is being sent.
+
+    :param on_fields: Receives the metadata of the answer as soon as its head arrives,
+        unless another upstream sent it.
     """
 
     def __init__(
         self,
+        *,
         connection: UpstreamConnection,
         request: OutgoingRequest,
         timeouts: ExchangeTimeouts,
         sink: StreamSink | None,
         is_whole: Callable[[], bool],
+        on_fields: Callable[[AnswerFields], None],
     ) -> None:
         self._connection = connection
         self._request = request
         self._timeouts = timeouts
         self._sink = sink
         self._is_whole = is_whole
+        self._on_fields = on_fields
         self._started = False
         #: Whether the body has any data.
         self._has_data = False
@@ -273,6 +298,8 @@
 
     async def _read(self, scope: trio.CancelScope) -> Outcome:
         head, fields = await self._read_matching_head()
+        if head.status != _MISDIRECTED:
+            self._on_fields(fields)
         if fields.not_executed or head.status == _MISDIRECTED:
             await self._read_rest()
             return Refused(
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -20,6 +20,7 @@
     StreamEnded,
 )
 from galenashift.gateway._pool import ConnectionPool
+from galenashift.gateway._upstream_limits import UpstreamLimiter
 from galenashift.model import (
     FailureDomainName,
     InstanceState,
@@ -27,6 +28,7 @@
     ServiceName,
     UpstreamId,
 )
+from galenashift.telemetry import EventLog
 
 COMPLETE_ANSWER = (
     b"HTTP/1.1 200 OK\r\nGalenashift-Attempt-Id: a1\r\nContent-Length: 2\r\n\r\nok"
@@ -92,6 +94,10 @@
         stream.socket.close()
 
 
+def new_limiter():
+    return UpstreamLimiter(events=EventLog(level="error"))
+
+
 def run_exchange(upstream, scenario):
     """Run `scenario(exchange)` against the upstream."""
 
@@ -110,7 +116,11 @@
                 slots=4,
                 cold_left_s=0.0,
             )
-            exchanger = Exchanger(pool=ConnectionPool(), clock=trio.current_time)
+            exchanger = Exchanger(
+                pool=ConnectionPool(),
+                limiter=new_limiter(),
+                clock=trio.current_time,
+            )
             exchange = partial(
                 exchanger.exchange, upstream=registration, timeouts=TIMEOUTS
             )
@@ -321,7 +331,11 @@
             slots=4,
             cold_left_s=0.0,
         )
-        exchanger = Exchanger(pool=ConnectionPool(), clock=trio.current_time)
+        exchanger = Exchanger(
+            pool=ConnectionPool(),
+            limiter=new_limiter(),
+            clock=trio.current_time,
+        )
         return await exchanger.exchange(
             upstream=registration, request=new_request(), timeouts=TIMEOUTS
         )
--- a/galenashift/model/_gateway.py
+++ b/galenashift/model/_gateway.py
@@ -230,6 +230,26 @@
     slots: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class RateLimit:
+    """The requests that an upstream accepts from all daemons together."""
+
+    #: Requests per second.
+    per_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class UnreadableRateLimit:
+    """A rate limit that cannot be decoded."""
+
+    #: What the upstream sent, shortened.
+    text: str
+
+
+#: What an answer states about the rate of requests; None if it states no limit.
+StatedLimit = RateLimit | UnreadableRateLimit | None
+
+
 @dataclass(frozen=True, kw_only=True)
 class AnswerFields:
     """Response metadata from an upstream's headers."""
@@ -243,3 +263,4 @@
     cold_left_s: float | None
     #: Whether the answer has a signature of the upstream.
     signed: bool
+    stated_limit: StatedLimit = None
--- a/galenashift/platform/_headers.py
+++ b/galenashift/platform/_headers.py
@@ -1,5 +1,6 @@
 """Decoding and encoding of the headers of requests and answers."""
 
+import re
 from collections.abc import Iterable, Sequence
 
 from galenashift.model import (
@@ -7,7 +8,10 @@
     Handle,
     OrganisationId,
     PromptPart,
+    RateLimit,
     RequestFields,
+    StatedLimit,
+    UnreadableRateLimit,
     UpstreamId,
     UpstreamLoad,
 )
@@ -31,6 +35,7 @@
 _ORGANISATION = b"galenashift-tenant"
 _INPUTS = b"galenashift-inputs"
 _RANK = b"galenashift-request-priority"
+_RATE_LIMIT = b"server-limit"
 
 #: Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -68,6 +73,9 @@
     }
 )
 _MAX_RANK = 9
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+#: Characters of a malformed value that are logged.
+_MAX_SHOWN = 40
 #: Most pieces of all stages of a request. Each piece takes memory in the batching
 #: daemon, so a larger count would exhaust it.
 MAX_PIECES = 10_000
@@ -189,9 +197,20 @@
         load=_decode_load(find_header(headers, _LOAD)),
         cold_left_s=None if cold_ms is None else _decode_milliseconds(cold_ms),
         signed=find_header(headers, _SIGNATURE) is not None,
+        stated_limit=_decode_rate_limit(headers),
     )
 
 
+def _decode_rate_limit(headers: Headers) -> StatedLimit:
+    values = [value for name, value in headers if name == _RATE_LIMIT]
+    if not values:
+        return None
+    text = b",".join(values).decode("latin-1").strip()
+    if _DECIMAL.fullmatch(text) is None:
+        return UnreadableRateLimit(text=text[:_MAX_SHOWN])
+    return RateLimit(per_s=float(text))
+
+
 def _decode_load(text: str | None) -> UpstreamLoad | None:
     if text is None:
         return None
--- a/galenashift/platform/tests/test_malformed.py
+++ b/galenashift/platform/tests/test_malformed.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from galenashift.model import RateLimit, UnreadableRateLimit
 from galenashift.platform import (
     HeaderError,
     RecordError,
@@ -194,6 +195,7 @@
             b"galenashift-prefix-hash",
             b"galenashift-instance-load",
             b"galenashift-cold-ms",
+            b"server-limit",
             b"keep-alive",
         ]
     ),
@@ -206,10 +208,36 @@
         assert fields.wait_s is None or 0 <= fields.wait_s < math.inf
     answer = decode_answer(headers)
     assert answer.cold_left_s is None or 0 <= answer.cold_left_s < math.inf
+    if isinstance(answer.stated_limit, RateLimit):
+        assert 0 <= answer.stated_limit.per_s < math.inf
     timeout_s = idle_timeout_s(headers)
     assert timeout_s is None or 0 <= timeout_s < math.inf
 
 
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ([], None),
+        ([b"1"], RateLimit(per_s=1.0)),
+        ([b" 0.25 "], RateLimit(per_s=0.25)),
+        ([b"0"], RateLimit(per_s=0.0)),
+        ([b""], UnreadableRateLimit(text="")),
+        ([b"-1"], UnreadableRateLimit(text="-1")),
+        ([b"nan"], UnreadableRateLimit(text="nan")),
+        ([b"inf"], UnreadableRateLimit(text="inf")),
+        ([b"1e3"], UnreadableRateLimit(text="1e3")),
+        ([b"none"], UnreadableRateLimit(text="none")),
+        ([b"\xb2"], UnreadableRateLimit(text="\xb2")),
+        ([b"9" * 5_000], UnreadableRateLimit(text="9" * 40)),
+        ([b"1", b"2"], UnreadableRateLimit(text="1,2")),
+    ],
+)
+def test_rate_limit_is_a_decimal_number_or_unreadable(values, expected):
+    # An odd value must neither fail the answer nor pass for a limit.
+    headers = [(b"server-limit", value) for value in values]
+    assert decode_answer(headers).stated_limit == expected
+
+
 @pytest.mark.fuzz
 @given(st.dictionaries(st.sampled_from(["rev", "key", "value", "tombstone"]), _JSON))
 def test_any_answer_of_the_store_decodes_or_fails(body):
