Reproduce requests beyond a stated limit in tests that fail

Cause: an upstream that states a limit gets as many requests as any other. Change: the stand-ins state a limit in all answers; process tests with five daemons send 25 requests a second on routes that may be repeated, may not, stream, and have stages, and check what one upstream gets in 4 s.

--- /dev/null
+++ b/soak/tests/test_stated_limits.py
@@ -0,0 +1,177 @@
+"""An upstream that states a limit gets no more requests than that from all daemons."""
+
+import itertools
+import statistics
+import time
+from random import Random
+
+import httpcore
+import pytest
+import trio
+
+from soak._deployment import API_KEY, Deployment
+
+pytestmark = pytest.mark.process
+
+LIMIT_PER_S = 1.0
+#: Time after an upstream first states its limit from which it holds, in seconds;
+#: "contact_ms", the window and the allowance are those of the users' rule LIMIT.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+#: Time for which requests are sent, and time between two of them, in seconds.
+SENDING_S = 14.0
+PAUSE_S = 0.04
+#: Latency goal of the routes, in seconds.
+GOAL_S = 0.5
+_TIMEOUT_S = 15.0
+
+
+class Harness:
+    """Five daemons, and three upstreams of each service."""
+
+    def __init__(self, tmp_path):
+        self.deployment = Deployment(
+            folder=tmp_path, random=Random(7), clock=time.monotonic
+        )
+        self.numbers = itertools.count(1)
+        self.statuses = []
+        self.refused_after_s = []
+
+    def upstreams(self, service):
+        return [each for each in self.deployment.upstreams if each.service == service]
+
+    async def start(self, nursery):
+        await self.deployment.start(nursery, daemons=5)
+        with trio.fail_after(_TIMEOUT_S):
+            while len(self.deployment.store.keys("daemons/")) < 5:
+                await trio.sleep(0.05)
+            for daemon in self.deployment.daemons:
+                while await self.send(daemon, "read") != 200:
+                    await trio.sleep(0.1)
+
+    async def send(self, daemon, route):
+        attempt = f"{next(self.numbers):08x}"
+        headers = {
+            "Host": "soak.example",
+            "X-Api-Key": API_KEY,
+            "Galenashift-Attempt-Id": attempt,
+            "Galenashift-Deadline-Ms": "4000",
+            "Galenashift-Token-Usage": "100,30",
+            "Galenashift-Prefix-Hash": f"first:90,own{attempt}:9",
+        }
+        if route == "staged":
+            headers |= {
+                "Galenashift-Pieces": "2,1",
+                "Galenashift-Piece-Key": f"key-{attempt}",
+            }
+        with trio.move_on_after(6.0):
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request(
+                    "POST",
+                    f"{daemon.url}/{route}/x",
+                    headers=list(headers.items()),
+                    content=attempt.encode(),
+                )
+                return response.status
+        return None
+
+    async def record(self, daemon, route):
+        sent_at_s = time.monotonic()
+        status = await self.send(daemon, route)
+        self.statuses.append(status)
+        if status == 503:
+            self.refused_after_s.append(time.monotonic() - sent_at_s)
+
+    async def send_steadily(self, route):
+        daemons = itertools.cycle(self.deployment.daemons)
+        async with trio.open_nursery() as nursery:
+            end_s = time.monotonic() + SENDING_S
+            while time.monotonic() < end_s:
+                nursery.start_soon(self.record, next(daemons), route)
+                await trio.sleep(PAUSE_S)
+
+
+def run(tmp_path, scenario):
+    async def main():
+        harness = Harness(tmp_path)
+        try:
+            async with trio.open_nursery() as nursery:
+                await harness.start(nursery)
+                await scenario(harness)
+                nursery.cancel_scope.cancel()
+        finally:
+            harness.deployment.end()
+
+    trio.run(main)
+
+
+def most_in_window(times_s, *, from_s):
+    """Return the most times within any window that begins at or after `from_s`."""
+    late = [each for each in times_s if each >= from_s]
+    return max(
+        (sum(start <= each < start + WINDOW_S for each in late) for start in late),
+        default=0,
+    )
+
+
+@pytest.mark.parametrize(
+    ("route", "service"),
+    [("read", "plain"), ("write", "plain"), ("again", "model"), ("staged", "stage")],
+)
+def test_upstream_gets_no_more_than_it_states(tmp_path, route, service):
+    # Guards against an overload of an upstream in need: the limit holds for all daemons
+    # together, and for calls of stages, frees and retries as for first sends.
+    async def scenario(harness):
+        limited = harness.upstreams(service)[0]
+        limited.stated_limit = f"{LIMIT_PER_S}"
+        from_s = time.monotonic() + CONTACT_S
+        await harness.send_steadily(route)
+        assert most_in_window(limited.arrived_at_s, from_s=from_s) <= MAX_IN_WINDOW
+        assert any(each >= from_s for each in limited.arrived_at_s)
+        # The others serve what the limited one does not take.
+        assert harness.statuses.count(200) >= 0.9 * len(harness.statuses)
+
+    run(tmp_path, scenario)
+
+
+def test_requests_are_refused_at_once_if_all_upstreams_are_limited(tmp_path):
+    # Guards against requests that wait for their deadline although no upstream will
+    # take them, and against limits that end the service.
+    async def scenario(harness):
+        for each in harness.upstreams("plain"):
+            each.stated_limit = f"{LIMIT_PER_S}"
+        from_s = time.monotonic() + CONTACT_S
+        await harness.send_steadily("read")
+        for each in harness.upstreams("plain"):
+            assert most_in_window(each.arrived_at_s, from_s=from_s) <= MAX_IN_WINDOW
+        assert set(harness.statuses) == {200, 503}
+        assert statistics.median(harness.refused_after_s) <= GOAL_S / 2
+        served = [
+            time_s
+            for each in harness.upstreams("plain")
+            for time_s in each.arrived_at_s
+            if time_s >= from_s
+        ]
+        # Half of what the upstreams accept is used at least.
+        assert len(served) >= 0.5 * 3 * LIMIT_PER_S * (SENDING_S - CONTACT_S)
+
+    run(tmp_path, scenario)
+
+
+def test_upstream_is_used_again_after_its_limit_ends(tmp_path):
+    # Guards against a limit that stays in force at daemons that no longer hear from
+    # the upstream.
+    async def scenario(harness):
+        limited = harness.upstreams("plain")[0]
+        limited.stated_limit = f"{LIMIT_PER_S}"
+        await harness.send_steadily("read")
+        limited.stated_limit = None
+        await harness.send_steadily("read")
+        from_s = time.monotonic()
+        await harness.send_steadily("read")
+        share = sum(each >= from_s for each in limited.arrived_at_s)
+        expected = SENDING_S / PAUSE_S / 3
+        assert share >= 0.5 * expected
+
+    run(tmp_path, scenario)
--- a/standins/_platform_upstream.py
+++ b/standins/_platform_upstream.py
@@ -58,6 +58,8 @@
     answer_loss_probability: float = 0.0
     stream_break_probability: float = 0.0
     executions: list[Execution] = field(default_factory=list)
+    #: Times at which requests of any kind arrived, on `clock`.
+    arrived_at_s: list[float] = field(default_factory=list)
     #: Attempt and stage of each stored result, by handle.
     results: dict[str, tuple[str, int]] = field(default_factory=dict)
     #: Descriptions of requests that violated the protocol.
@@ -67,6 +69,8 @@
     crashing_part: str | None = None
     #: Body of a request that crashes the upstream when its execution begins.
     crashing_body: bytes | None = None
+    #: Value of the header that states a limit; None for no header.
+    stated_limit: str | None = None
     #: Called at a crash; closes all connections of the upstream.
     on_crash: Callable[[], None] = lambda: None
     #: Times of the crashes, on `clock`.
@@ -77,13 +81,14 @@
 
     async def answer(self, request: Request) -> Reply:
         """Answer an HTTP request."""
+        self.arrived_at_s.append(self.clock())
         expected = request.headers.get("galenashift-expect-instance")
         if expected is not None and expected != self.name:
             return Reply(status=_MISDIRECTED, headers=self._headers(request))
         if request.target.startswith("/galenashift/stage-free"):
             for handle in json.loads(request.body)["handles"]:
                 self.results.pop(handle, None)
-            return Reply()
+            return Reply(headers=self._headers(request))
         if self.running >= 2 * self.slots:
             return Reply(
                 status=_OVERLOADED, headers=self._headers(request) | _NOT_RUN_HEADERS
@@ -98,6 +103,8 @@
         headers = {"galenashift-instance-load": f"{self.running},0,{self.slots}"}
         if _ATTEMPT_HEADER in request.headers:
             headers[_ATTEMPT_HEADER] = request.headers[_ATTEMPT_HEADER]
+        if self.stated_limit is not None:
+            headers["server-limit"] = self.stated_limit
         return headers
 
     async def _run(self, request: Request) -> Reply:
