Keep the requests to an upstream within the limit that it states

Callers saw: nothing; an upstream in need got up to 12 requests in 4 s at a limit of 1 per second, from daemons that it had told. Cause: nothing read the header, so the upstream stayed as eligible as any other. Ruled out: the whole limit at each daemon (N times too much); equal shares of all daemons (with 195 and a limit of 1, all can send in the same second); shares by demand (they need messages for each request). Change: rendezvous hashing chooses a few senders for each limited upstream, with a token bucket each; the other daemons ask again after a random time in proportion to the fleet. A permit is taken at the one place where requests are sent, whatever the reason. Router and stage scheduler leave upstreams without a permit out, and a request that all limits hold back is refused at once, with a Retry-After from the limits. Callables and selection are modules of their own now. Why this works: all senders together send at most limit x (window + 2) + 3 requests in a window, whatever was saved up.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -11,8 +11,15 @@
 
 import trio
 
+from galenashift.limits import UpstreamRates
 from galenashift.listeners import DrainingListener, StreamHandler
-from galenashift.model import CallerLimits, UpstreamId, boot_time_s
+from galenashift.model import (
+    CallerLimits,
+    RoutingConfig,
+    ServiceName,
+    UpstreamId,
+    boot_time_s,
+)
 from galenashift.platform import (
     SETTINGS_PATH_VARIABLE,
     Address,
@@ -105,11 +112,15 @@
             events=self._events,
         )
         latencies = ServiceLatencies()
-        limiter = UpstreamLimiter(events=self._events)
-        exchanger = Exchanger(pool=self._pool, limiter=limiter, clock=clock)
+        self._rates = UpstreamRates(daemon_id=settings.daemon_id, random=Random())
+        self._limiter = UpstreamLimiter(
+            rates=self._rates, events=self._events, metrics=self._metrics, clock=clock
+        )
+        exchanger = Exchanger(pool=self._pool, limiter=self._limiter, clock=clock)
         self._scheduler = StageScheduler(
             view=self._view,
             exchanger=exchanger,
+            limiter=self._limiter,
             events=self._events,
             metrics=self._metrics,
             clock=clock,
@@ -148,6 +159,7 @@
                 failure_domain=settings.failure_domain,
                 health=self._health,
                 cold=self._cold_limiter,
+                limiter=self._limiter,
                 random=Random(),
             ),
             exchanger=exchanger,
@@ -327,8 +339,10 @@
         config = self._view.config
         if name == "config-adopted" and config is not None:
             self._cold_limiter.set_services(dict(config.services_by_name))
+            self._rates.set_batched_services(_batched_services(config))
         elif name in {"peer-registered", "peer-removed"}:
             self._cold_limiter.set_daemons(self._view.peers_by_id)
+            self._rates.set_daemons(self._view.peers_by_id, now_s=self._clock())
         elif name in {"upstream-removed", "upstream-lapsed"}:
             self._remove_upstream(UpstreamId(str(fields["upstream"])))
 
@@ -336,9 +350,19 @@
         """Remove all state of an upstream that is no longer registered."""
         self._health.remove(upstream_id)
         self._cold_limiter.remove(upstream_id)
+        self._limiter.forget(upstream_id)
         self._pool.drop(upstream_id)
 
 
+def _batched_services(config: RoutingConfig) -> frozenset[ServiceName]:
+    """Return the services that one daemon calls for all others."""
+    return frozenset(
+        name
+        for name, service in config.services_by_name.items()
+        if service.pieces is not None
+    )
+
+
 def _detach(listener: trio.socket.SocketType) -> socket.socket:
     """Return the standard socket of a listener of trio."""
     detached = socket.socket(fileno=listener.detach())
--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -7,7 +7,12 @@
 
 import trio
 
-from galenashift.model import AnswerFields, RegisteredUpstream, UpstreamId
+from galenashift.model import (
+    AnswerFields,
+    RegisteredUpstream,
+    RequestId,
+    UpstreamId,
+)
 from galenashift.platform import decode_answer, idle_timeout_s
 
 from ._caller import CallerGone
@@ -43,12 +48,19 @@
     #: Largest body of an answer that is not a stream, in bytes.
     max_answer_bytes: int
 
+    @property
+    def request_id(self) -> RequestId | None:
+        """Identifier in the log; None for calls without an attempt id."""
+        return None if self.attempt_id is None else RequestId(self.attempt_id)
+
 
 @dataclass(frozen=True, kw_only=True)
 class NotSent:
     """No byte of the request was sent."""
 
     detail: str
+    #: Whether the upstream's rate limit was used up.
+    limited: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -117,7 +129,7 @@
 class Exchanger:
     """Sends requests over pooled connections.
 
-    :param limiter: Learns the limits that upstreams state in their answers.
+    :param limiter: Permits each request that is sent, and learns from each answer.
     :param clock: Boot-time clock.
     """
 
@@ -167,13 +179,19 @@
         try:
             if not may_send():
                 return NotSent(detail="the upstream no longer accepts requests")
+            if not self._limiter.take(upstream, request_id=request.request_id):
+                return NotSent(
+                    detail="the upstream's rate limit is used up", limited=True
+                )
             reader = _Reader(
                 connection=connection,
                 request=request,
                 timeouts=timeouts,
                 sink=sink,
                 is_whole=is_whole,
-                on_fields=partial(self._record_fields, upstream),
+                on_fields=partial(
+                    self._limiter.record_answer, upstream, sent_at_s=self._clock()
+                ),
             )
             outcome, reusable = await self._send_and_read(connection, request, reader)
             return outcome
@@ -183,11 +201,6 @@
             else:
                 connection.close()
 
-    def _record_fields(
-        self, upstream: RegisteredUpstream, fields: AnswerFields
-    ) -> None:
-        self._limiter.record_answer(upstream, fields, now_s=self._clock())
-
     async def _send_and_read(
         self,
         connection: UpstreamConnection,
--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -4,6 +4,7 @@
 from galenashift.retries import Quarantine
 
 from ._exchange import Broken, Outcome, Silent, StreamEnded
+from ._router import LimitWait
 from ._stage_outcome import StageFailed, StageProblem
 
 #: ``Retry-After`` of a request that no upstream had capacity for, in seconds.
@@ -83,16 +84,21 @@
     )
 
 
-def no_upstream_failure(verdict: Verdict, *, service: str) -> Failure:
+def no_upstream_failure(
+    verdict: Verdict, *, service: str, limit_wait: LimitWait | None
+) -> Failure:
     """Return the failure of a request for which no upstream is eligible.
 
     :param verdict: Verdict on the earlier attempts.
+    :param limit_wait: How long the rate limits of all upstreams hold it back, if so.
     """
     if verdict is not Verdict.NOT_RUN:
         return may_have_run(
             reason=Reason.UPSTREAM_FAILED,
             detail="no other upstream is available for a retry",
         )
+    if limit_wait is not None:
+        return _limited_failure(limit_wait, service=service)
     return not_run(
         reason=Reason.NO_UPSTREAM,
         detail=f"no upstream of {service} is available",
@@ -100,6 +106,19 @@
     )
 
 
+def _limited_failure(limit_wait: LimitWait, *, service: str) -> Failure:
+    # A caller that comes back reaches another daemon, which may have a permit by then.
+    wait_s = min(limit_wait.here_s, limit_wait.interval_s)
+    return not_run(
+        reason=Reason.NO_UPSTREAM,
+        detail=(
+            f"{limit_wait.upstreams} upstreams of {service} limit their requests;"
+            f" the next permit here is in {limit_wait.here_s:.2f} s"
+        ),
+        retry_after_s=max(NO_CAPACITY_RETRY_AFTER_S, wait_s),
+    )
+
+
 def quarantine_failure(verdict: Verdict, quarantine: Quarantine) -> Failure:
     """Return the failure of a request that is like others that crashed upstreams.
 
--- a/galenashift/gateway/_outcome_recorder.py
+++ b/galenashift/gateway/_outcome_recorder.py
@@ -2,7 +2,7 @@
 
 from galenashift.model import ServiceName, UpstreamId
 
-from ._exchange import Answered, Outcome, Refused, StreamEnded
+from ._exchange import Answered, NotSent, Outcome, Refused, StreamEnded
 from ._health import HealthTracker
 from ._stream import StreamWriter
 from ._times import ServiceLatencies
@@ -43,6 +43,8 @@
             case StreamEnded(complete=True):
                 self._record_answer(service, upstream_id, writer.first_byte_s, now_s)
                 return False
+            case NotSent(limited=True):
+                return False
             case Refused(misdirected=True):
                 self._health.eject(upstream_id, until_s=now_s + _MISDIRECTED_EJECTION_S)
                 return True
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -5,8 +5,6 @@
 from functools import partial
 from typing import assert_never
 
-import trio
-
 from galenashift.model import (
     Failure,
     FailureDomainName,
@@ -47,17 +45,13 @@
 from ._request_log import RequestLog
 from ._retry_budgets import RetryBudgets
 from ._retry_policy import RetryPolicy
-from ._router import Choice, Router, prefix_key
+from ._router import Choice, Router
 from ._stage_run import RETRYABLE_PROBLEMS, StagedRequest, StageExecutor, StageRun
 from ._stream import StreamWriter
 from ._times import ServiceLatencies
+from ._upstream_selector import UpstreamSelector
 from ._view import PlatformView
 
-#: Longest wait for an eligible upstream, as a ratio of the route's latency goal.
-_UPSTREAM_WAIT_RATIO = 0.125
-#: Time between two checks for an eligible upstream, in seconds.
-_POLL_INTERVAL_S = 0.02
-
 #: Largest answer that is not a stream, in bytes. It is buffered until it is complete,
 #: so the limit must be small compared to the memory of an instance.
 MAX_ANSWER_BYTES = 8_000_000
@@ -92,6 +86,7 @@
     ) -> None:
         self._view = view
         self._router = router
+        self._selector = UpstreamSelector(view=view, router=router, clock=clock)
         self._exchanger = exchanger
         self._stages = stages
         self._latencies = latencies
@@ -202,7 +197,7 @@
 
     def _likely_domain(self, job: ActiveRequest) -> FailureDomainName | None:
         """Return the failure domain in which the request would run if sent now."""
-        choice = self._choose_upstream(job)
+        choice = self._selector.choose(job)
         return None if choice is None else choice.upstream.registration.failure_domain
 
     async def _send_with_retries(
@@ -218,7 +213,7 @@
             on_first_event=on_first_event,
         )
         while True:
-            choice = await self._wait_for_upstream(job)
+            choice = await self._selector.wait(job)
             refused = self._crash_policy.refusal_before_send(job)
             if refused is not None:
                 writer.discard_partial_event()
@@ -230,25 +225,6 @@
             if not isinstance(result, _Retry):
                 return result
 
-    async def _wait_for_upstream(self, job: ActiveRequest) -> Choice | None:
-        wait_until_s = self._clock() + _UPSTREAM_WAIT_RATIO * job.route.latency_goal_s
-        while True:
-            choice = self._choose_upstream(job)
-            if choice is not None or self._clock() >= wait_until_s:
-                return choice
-            await trio.sleep(_POLL_INTERVAL_S)
-
-    def _choose_upstream(self, job: ActiveRequest) -> Choice | None:
-        now_s = self._clock()
-        parts = job.fields.prompt_parts if job.route.prefix_cached else ()
-        return self._router.choose(
-            candidates=self._view.available_upstreams(job.service, now_s=now_s),
-            excluded=job.tried | job.unreachable,
-            prefix_key=prefix_key(parts),
-            daemon_count=self._view.daemon_count,
-            now_s=now_s,
-        )
-
     async def _send_once(
         self,
         job: ActiveRequest,
@@ -367,7 +343,11 @@
     async def _handle_no_upstream(
         self, job: ActiveRequest, responder: Responder, writer: StreamWriter
     ) -> Failure | None:
-        failure = no_upstream_failure(job.verdict, service=job.service)
+        failure = no_upstream_failure(
+            job.verdict,
+            service=job.service,
+            limit_wait=self._selector.limit_wait(job),
+        )
         writer.discard_partial_event()
         return await self._give_up(job, responder, failure)
 
--- a/galenashift/gateway/_request_log.py
+++ b/galenashift/gateway/_request_log.py
@@ -97,6 +97,7 @@
             known_s=now_s - upstream.received_at_s,
             config=request.config.version,
             eligible=choice.eligible,
+            limited=choice.limited,
             cost_s=choice.cost_s,
             by_prefix=choice.by_prefix,
             parts=",".join(each.part_id for each in request.fields.prompt_parts),
--- a/galenashift/gateway/_router.py
+++ b/galenashift/gateway/_router.py
@@ -15,6 +15,7 @@
 
 from ._cold_limiter import ColdUpstreamLimiter
 from ._health import HealthTracker
+from ._upstream_limits import UpstreamLimiter
 from ._view import KnownUpstream
 
 #: Latency assumed for an upstream without samples, in seconds.
@@ -40,10 +41,24 @@
     cost_s: float
     #: Number of upstreams that could have been selected.
     eligible: int
+    #: Number of upstreams that were left out because of their rate limits.
+    limited: int
     #: Whether the upstream was selected by the prompt prefix.
     by_prefix: bool
 
 
+@dataclass(frozen=True, kw_only=True)
+class LimitWait:
+    """How long the rate limits of all upstreams hold back a request."""
+
+    #: Number of upstreams.
+    upstreams: int
+    #: Time until this daemon may send to one of them, in seconds.
+    here_s: float
+    #: Mean time between two requests that they accept from all daemons, in seconds.
+    interval_s: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Router:
     """Selects upstreams by the registrations and this daemon's health records."""
@@ -52,6 +67,7 @@
     failure_domain: FailureDomainName
     health: HealthTracker
     cold: ColdUpstreamLimiter
+    limiter: UpstreamLimiter
     random: Random
 
     def choose(
@@ -75,11 +91,10 @@
         :param daemon_count: Number of daemons that send to the same upstreams.
         :param now_s: Boot-time clock, in seconds.
         """
-        fresh = [
-            each for each in candidates if each.registration.upstream_id not in excluded
-        ]
+        fresh = _without(candidates, excluded)
+        permitted = [each for each in fresh if not self._is_limited(each, now_s)]
         eligible = [
-            each for each in fresh if self._is_eligible(each, daemon_count, now_s)
+            each for each in permitted if self._is_eligible(each, daemon_count, now_s)
         ]
         if not eligible:
             return None
@@ -97,9 +112,34 @@
             upstream=best,
             cost_s=cost_by_id[_upstream_id(best)],
             eligible=len(eligible),
+            limited=len(fresh) - len(permitted),
             by_prefix=by_prefix,
         )
 
+    def limit_wait(
+        self,
+        *,
+        candidates: Sequence[KnownUpstream],
+        excluded: Collection[UpstreamId],
+        now_s: float,
+    ) -> LimitWait | None:
+        """Return how long all upstreams hold back, or None if one of them does not.
+
+        :param candidates: Upstreams of the service that accept requests.
+        :param excluded: Upstreams that were tried before.
+        :param now_s: Boot-time clock, in seconds.
+        """
+        fresh = _without(candidates, excluded)
+        registrations = [each.registration for each in fresh]
+        waits_s = [self.limiter.wait_s(each, now_s=now_s) for each in registrations]
+        if not waits_s or min(waits_s) <= 0:
+            return None
+        statuses = [self.limiter.status(each, now_s=now_s) for each in registrations]
+        total_per_s = sum(each.per_s for each in statuses if each is not None)
+        return LimitWait(
+            upstreams=len(fresh), here_s=min(waits_s), interval_s=1 / total_per_s
+        )
+
     def pick_service(
         self, weight_by_service: Mapping[ServiceName, float]
     ) -> ServiceName:
@@ -110,6 +150,9 @@
         weights = list(weight_by_service.values())
         return self.random.choices(services, weights)[0]
 
+    def _is_limited(self, upstream: KnownUpstream, now_s: float) -> bool:
+        return self.limiter.wait_s(upstream.registration, now_s=now_s) > 0
+
     def _is_eligible(
         self, upstream: KnownUpstream, daemon_count: int, now_s: float
     ) -> bool:
@@ -133,6 +176,12 @@
         return cost_s
 
 
+def _without(
+    candidates: Sequence[KnownUpstream], excluded: Collection[UpstreamId]
+) -> list[KnownUpstream]:
+    return [each for each in candidates if _upstream_id(each) not in excluded]
+
+
 def _upstream_id(upstream: KnownUpstream) -> UpstreamId:
     return upstream.registration.upstream_id
 
--- a/galenashift/gateway/_stage_job.py
+++ b/galenashift/gateway/_stage_job.py
@@ -64,7 +64,7 @@
     domain: FailureDomainName
     #: Boot-time clock at which it is expected to be idle, in seconds.
     free_at_s: float
-    #: Whether a call is in progress.
+    #: Whether a call is in progress, or the upstream's rate limit is used up.
     busy: bool
     #: Ratio of the measured to the nominal duration of a call.
     slowness: float
--- a/galenashift/gateway/_stage_queue.py
+++ b/galenashift/gateway/_stage_queue.py
@@ -68,10 +68,10 @@
         """Count pieces that upstreams have completed."""
         self._efficiency.record_completed(pieces)
 
-    def update_efficiency(self, *, workers: int, now_s: float) -> None:
+    def update_efficiency(self, *, workers: float, now_s: float) -> None:
         """Update the efficiency from the pieces completed since the last update.
 
-        :param workers: Number of upstreams that accept calls.
+        :param workers: Upstreams that accept calls, see `refusal`.
         :param now_s: Boot-time clock, in seconds.
         """
         batch = self.limits.batch
@@ -86,11 +86,12 @@
         return self.limits.call_overhead_s + pieces * self.limits.piece_duration_s
 
     def refusal(
-        self, job: StageJob, *, workers: int, now_s: float
+        self, job: StageJob, *, workers: float, now_s: float
     ) -> InfeasibleJob | None:
         """Return the refusal of a new job that cannot meet its deadline, or None.
 
-        :param workers: Number of upstreams that accept calls.
+        :param workers: Number of upstreams that accept calls; one whose rate limit
+            leaves pauses between its calls counts as the fraction that it works.
         :param now_s: Boot-time clock, in seconds.
         """
         remaining_s = self.call_duration_s(len(job.pieces)) + job.tail_s
@@ -102,10 +103,10 @@
             return None
         return InfeasibleJob(job=job, retry_after_s=wait_s)
 
-    def expected_wait(self, *, workers: int, now_s: float) -> StageWait:
+    def expected_wait(self, *, workers: float, now_s: float) -> StageWait:
         """Return the expected queueing time of a new job.
 
-        :param workers: Number of upstreams that accept calls.
+        :param workers: Upstreams that accept calls, see `refusal`.
         :param now_s: Boot-time clock, in seconds.
         """
         pieces = len(self)
@@ -121,9 +122,9 @@
             late_s=self._wait_s(pieces, workers),
         )
 
-    def _wait_s(self, pieces: int, workers: int) -> float:
+    def _wait_s(self, pieces: int, workers: float) -> float:
         batch = self.limits.batch
-        nominal_s = pieces / batch * self.call_duration_s(batch) / max(1, workers)
+        nominal_s = pieces / batch * self.call_duration_s(batch) / (workers or 1)
         return nominal_s / self._efficiency.efficiency
 
     def _pieces_ahead(self, job: StageJob, now_s: float) -> int:
@@ -134,13 +135,13 @@
             if self._order_key(each, now_s) <= own_key
         )
 
-    def remove_infeasible(self, *, workers: int, now_s: float) -> list[InfeasibleJob]:
+    def remove_infeasible(self, *, workers: float, now_s: float) -> list[InfeasibleJob]:
         """Remove and return the jobs that can no longer meet their deadline.
 
         The first job of a request is removed as soon as the pieces ahead of it would
         take too long. Started jobs and jobs of later stages stay until their deadline.
 
-        :param workers: Number of upstreams that accept calls.
+        :param workers: Upstreams that accept calls, see `refusal`.
         :param now_s: Boot-time clock, in seconds.
         """
         infeasible: list[InfeasibleJob] = []
--- a/galenashift/gateway/_stage_results.py
+++ b/galenashift/gateway/_stage_results.py
@@ -10,7 +10,8 @@
 
 from ._exchange import Answered, Exchanger, ExchangeTimeouts
 from ._stage_upstream import StageUpstreams, stage_request
-from ._view import PlatformView
+from ._upstream_limits import UpstreamLimiter
+from ._view import KnownUpstream, PlatformView
 
 #: Interval between calls that free results, in seconds.
 _FREE_INTERVAL_S = 0.05
@@ -31,6 +32,7 @@
         upstreams: StageUpstreams,
         view: PlatformView,
         exchanger: Exchanger,
+        limiter: UpstreamLimiter,
         events: EventLog,
         on_freed: Callable[[ServiceName], None],
         clock: Callable[[], float],
@@ -38,6 +40,7 @@
         self._upstreams = upstreams
         self._view = view
         self._exchanger = exchanger
+        self._limiter = limiter
         self._events = events
         self._on_freed = on_freed
         self._clock = clock
@@ -91,9 +94,16 @@
         known = self._view.find_by_address(address)
         return None if known is None else known.registration.upstream_id
 
+    def _may_free(self, upstream: KnownUpstream) -> bool:
+        """Tell whether a call to free results needs no permit that a stage waits for.
+
+        The upstream frees its results itself when they expire.
+        """
+        return self._limiter.wait_s(upstream.registration, now_s=self._clock()) <= 0
+
     async def _free(self, upstream_id: UpstreamId, handles: list[Handle]) -> None:
         upstream = self._view.find(upstream_id)
-        if upstream is None:
+        if upstream is None or not self._may_free(upstream):
             return
         request = stage_request(upstream, path=FREE_PATH, body=encode_free(handles))
         outcome = await self._exchanger.exchange(
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -6,7 +6,6 @@
 
 from galenashift.model import (
     Handle,
-    PieceLimits,
     RequestId,
     ServiceName,
     UpstreamId,
@@ -28,7 +27,7 @@
     StreamEnded,
 )
 from ._stage_call import StageCaller
-from ._stage_job import Batch, JobId, PieceRef, StageJob, Worker
+from ._stage_job import Batch, JobId, PieceRef, StageJob
 from ._stage_outcome import StageFailed, StageOutcome, StageProblem, StageSucceeded
 from ._stage_queue import MAX_PIECE_ATTEMPTS, StageQueue
 from ._stage_results import StageResults
@@ -37,7 +36,9 @@
     StageUpstream,
     StageUpstreams,
 )
+from ._stage_workers import StageWorkers
 from ._times import StageWait
+from ._upstream_limits import UpstreamLimiter
 from ._view import KnownUpstream, PlatformView
 
 #: Time without calls to an upstream after a failed call, in seconds.
@@ -66,6 +67,7 @@
         *,
         view: PlatformView,
         exchanger: Exchanger,
+        limiter: UpstreamLimiter,
         events: EventLog,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -76,11 +78,15 @@
         self._clock = clock
         self._queues_by_service: dict[ServiceName, StageQueue] = {}
         self._upstreams = StageUpstreams()
+        self._workers = StageWorkers(
+            view=view, upstreams=self._upstreams, limiter=limiter
+        )
         self._waiters_by_id: dict[JobId, tuple[trio.Event, list[StageOutcome]]] = {}
         self._results = StageResults(
             upstreams=self._upstreams,
             view=view,
             exchanger=exchanger,
+            limiter=limiter,
             events=events,
             on_freed=self._dispatch,
             clock=clock,
@@ -104,7 +110,9 @@
         if queue is None:
             return StageFailed(problem=StageProblem.NO_UPSTREAM)
         now_s = self._clock()
-        workers = len(self._workers(service, queue.limits, now_s))
+        workers = self._workers.capacity(
+            self._workers.callable(service, now_s=now_s), queue, now_s=now_s
+        )
         if job.first:
             refusal = queue.refusal(job, workers=workers, now_s=now_s)
             if refusal is not None:
@@ -132,7 +140,8 @@
         if queue is None:
             return None
         now_s = self._clock()
-        workers = len(self._view.available_upstreams(service, now_s=now_s))
+        known = self._view.available_upstreams(service, now_s=now_s)
+        workers = self._workers.capacity(known, queue, now_s=now_s)
         return queue.expected_wait(workers=workers, now_s=now_s)
 
     def release(self, handles: Sequence[Handle]) -> None:
@@ -151,35 +160,13 @@
         queue.limits = details.pieces
         return queue
 
-    def _workers(
-        self, service: ServiceName, limits: PieceLimits, now_s: float
-    ) -> list[Worker]:
-        known = self._view.available_upstreams(service, now_s=now_s)
-        workers = []
-        for each in known:
-            upstream_id = each.registration.upstream_id
-            state = self._upstreams.state(upstream_id)
-            if now_s < state.backoff_until_s and not state.busy:
-                continue
-            workers.append(
-                Worker(
-                    upstream_id=upstream_id,
-                    domain=each.registration.failure_domain,
-                    free_at_s=state.free_at_s if state.busy else now_s,
-                    busy=state.busy,
-                    slowness=state.slowness,
-                    free_bytes=state.free_bytes(limits, now_s=now_s),
-                )
-            )
-        return workers
-
     def _dispatch(self, service: ServiceName) -> None:
         queue = self._queues_by_service.get(service)
         nursery = self._nursery
         if nursery is None or queue is None or not len(queue):
             return
         now_s = self._clock()
-        workers = self._workers(service, queue.limits, now_s)
+        workers = self._workers.snapshot(service, queue.limits, now_s=now_s)
         for batch in queue.plan(workers, now_s=now_s):
             upstream = self._view.find(batch.upstream_id)
             assert upstream is not None
@@ -266,7 +253,7 @@
         match outcome:
             case Answered(head=head, body=body) if head.status == _OK:
                 return self._process_answer(batch, body, state, now_s)
-            case Refused():
+            case Refused() | NotSent(limited=True):
                 state.backoff_until_s = now_s + _REFUSAL_BACKOFF_S
                 for ref in batch.pieces:
                     ref.job.attempts_by_index[ref.index] -= 1
@@ -384,7 +371,8 @@
             await trio.sleep(_SWEEP_INTERVAL_S)
             now_s = self._clock()
             for service, queue in self._queues_by_service.items():
-                workers = len(self._view.available_upstreams(service, now_s=now_s))
+                known = self._view.available_upstreams(service, now_s=now_s)
+                workers = self._workers.capacity(known, queue, now_s=now_s)
                 queue.update_efficiency(workers=workers, now_s=now_s)
                 for each in queue.remove_infeasible(workers=workers, now_s=now_s):
                     self._fail(each.job, StageProblem.LATE, each.retry_after_s)
--- /dev/null
+++ b/galenashift/gateway/_stage_workers.py
@@ -0,0 +1,83 @@
+"""The upstreams of a stage service that accept calls."""
+
+from collections.abc import Sequence
+
+from galenashift.model import PieceLimits, RegisteredUpstream, ServiceName
+
+from ._stage_job import Worker
+from ._stage_queue import StageQueue
+from ._stage_upstream import StageUpstreams
+from ._upstream_limits import UpstreamLimiter
+from ._view import KnownUpstream, PlatformView
+
+
+class StageWorkers:
+    """Lists upstreams for the planning of calls, and estimates what they can do."""
+
+    def __init__(
+        self,
+        *,
+        view: PlatformView,
+        upstreams: StageUpstreams,
+        limiter: UpstreamLimiter,
+    ) -> None:
+        self._view = view
+        self._upstreams = upstreams
+        self._limiter = limiter
+
+    def callable(self, service: ServiceName, *, now_s: float) -> list[KnownUpstream]:
+        """List the upstreams that accept calls and did not fail just before.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        known = self._view.available_upstreams(service, now_s=now_s)
+        return [
+            each for each in known if not self._is_backed_off(each.registration, now_s)
+        ]
+
+    def capacity(
+        self, upstreams: Sequence[KnownUpstream], queue: StageQueue, *, now_s: float
+    ) -> float:
+        """Return the number of upstreams, less the pauses that rate limits impose.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        call_s = queue.call_duration_s(queue.limits.batch)
+        statuses = [
+            self._limiter.status(each.registration, now_s=now_s) for each in upstreams
+        ]
+        return sum(
+            1.0 if each is None else min(1.0, each.share_per_s * call_s)
+            for each in statuses
+        )
+
+    def snapshot(
+        self, service: ServiceName, limits: PieceLimits, *, now_s: float
+    ) -> list[Worker]:
+        """Return the state of each callable upstream.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        return [
+            self._worker(each.registration, limits, now_s)
+            for each in self.callable(service, now_s=now_s)
+        ]
+
+    def _is_backed_off(self, upstream: RegisteredUpstream, now_s: float) -> bool:
+        state = self._upstreams.state(upstream.upstream_id)
+        return now_s < state.backoff_until_s and not state.busy
+
+    def _worker(
+        self, upstream: RegisteredUpstream, limits: PieceLimits, now_s: float
+    ) -> Worker:
+        state = self._upstreams.state(upstream.upstream_id)
+        free_at_s = state.free_at_s if state.busy else now_s
+        permit_wait_s = self._limiter.wait_s(upstream, now_s=now_s)
+        return Worker(
+            upstream_id=upstream.upstream_id,
+            domain=upstream.failure_domain,
+            free_at_s=max(free_at_s, now_s + permit_wait_s),
+            busy=state.busy or permit_wait_s > 0,
+            slowness=state.slowness,
+            free_bytes=state.free_bytes(limits, now_s=now_s),
+        )
--- a/galenashift/gateway/_upstream_limits.py
+++ b/galenashift/gateway/_upstream_limits.py
@@ -1,67 +1,121 @@
 """Rate limits that upstreams state in their answers."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
 
+from galenashift.limits import LimitChange, LimitStatus, UpstreamRates
 from galenashift.model import (
     AnswerFields,
     RateLimit,
     RegisteredUpstream,
+    RequestId,
     UnreadableRateLimit,
     UpstreamId,
 )
-from galenashift.telemetry import EventLog
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Belief:
-    per_s: float
-    #: Boot-time clock at which the upstream first stated it, in seconds.
-    since_s: float
+from galenashift.telemetry import EventLog, Metrics
 
 
 class UpstreamLimiter:
-    """Notes the limits that upstreams state, and logs each change."""
+    """Keeps this daemon's requests within the limits that upstreams state.
 
-    def __init__(self, *, events: EventLog) -> None:
+    :param clock: Boot-time clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        rates: UpstreamRates,
+        events: EventLog,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._rates = rates
         self._events = events
-        self._belief_by_id: dict[UpstreamId, _Belief] = {}
+        self._metrics = metrics
+        self._clock = clock
+        self._unreadable_by_id: dict[UpstreamId, str] = {}
 
     def record_answer(
-        self, upstream: RegisteredUpstream, fields: AnswerFields, *, now_s: float
+        self, upstream: RegisteredUpstream, fields: AnswerFields, *, sent_at_s: float
     ) -> None:
-        """Note what an answer states about the rate of requests.
+        """Note what an answer states; an unreadable limit leaves the last one in force.
 
-        :param now_s: Boot-time clock, in seconds.
+        :param sent_at_s: Boot-time clock at which the request was sent, in seconds.
         """
-        upstream_id = upstream.upstream_id
-        before = self._belief_by_id.get(upstream_id)
+        now_s = self._clock()
+        change: LimitChange | None = None
         match fields.stated_limit:
             case RateLimit(per_s=per_s):
-                if before is None or before.per_s != per_s:
-                    self._belief_by_id[upstream_id] = _Belief(
-                        per_s=per_s, since_s=now_s
-                    )
-                    self._log_change(upstream_id, before, per_s, now_s)
+                change = self._rates.record_limit(upstream, per_s, now_s=now_s)
             case UnreadableRateLimit(text=text):
-                self._events.warning(
-                    "upstream-limit-unreadable", upstream=upstream_id, value=text
-                )
+                self._log_unreadable(upstream, text)
             case None:
-                if before is not None:
-                    del self._belief_by_id[upstream_id]
-                    self._log_change(upstream_id, before, None, now_s)
+                change = self._rates.record_no_limit(
+                    upstream, sent_at_s=sent_at_s, now_s=now_s
+                )
+        if change is not None:
+            self._log_change(upstream, change, now_s=now_s)
+
+    def wait_s(self, upstream: RegisteredUpstream, *, now_s: float) -> float:
+        """Return the time until a request may be sent, in seconds; 0 for now.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        return self._rates.wait_s(upstream, now_s=now_s)
+
+    def status(
+        self, upstream: RegisteredUpstream, *, now_s: float
+    ) -> LimitStatus | None:
+        """Return the limit of an upstream, or None if it states none.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        return self._rates.status(upstream, now_s=now_s)
+
+    def take(
+        self, upstream: RegisteredUpstream, *, request_id: RequestId | None
+    ) -> bool:
+        """Take the permit for a request that is about to be sent, or refuse it.
+
+        :param request_id: The request in the log; None for calls of stages.
+        """
+        now_s = self._clock()
+        if self._rates.take(upstream, now_s=now_s):
+            return True
+        status = self._rates.status(upstream, now_s=now_s)
+        self._metrics.count("limited_sends_total", service=upstream.service)
+        self._events.info(
+            "upstream-limited",
+            request_id=request_id,
+            upstream=upstream.upstream_id,
+            limit_per_s=None if status is None else status.per_s,
+            share_per_s=None if status is None else status.share_per_s,
+            age_s=None if status is None else status.age_s,
+            wait_s=self._rates.wait_s(upstream, now_s=now_s),
+        )
+        return False
+
+    def forget(self, upstream_id: UpstreamId) -> None:
+        """Forget an upstream that is no longer registered."""
+        self._rates.forget(upstream_id)
+        self._unreadable_by_id.pop(upstream_id, None)
 
     def _log_change(
-        self,
-        upstream_id: UpstreamId,
-        before: _Belief | None,
-        per_s: float | None,
-        now_s: float,
+        self, upstream: RegisteredUpstream, change: LimitChange, *, now_s: float
     ) -> None:
+        status = self._rates.status(upstream, now_s=now_s)
         self._events.info(
             "upstream-limit-changed",
-            upstream=upstream_id,
-            limit_per_s=per_s,
-            previous_per_s=None if before is None else before.per_s,
-            previous_age_s=None if before is None else now_s - before.since_s,
+            upstream=upstream.upstream_id,
+            limit_per_s=change.per_s,
+            share_per_s=None if status is None else status.share_per_s,
+            previous_per_s=change.previous_per_s,
+            previous_age_s=change.previous_age_s,
+        )
+
+    def _log_unreadable(self, upstream: RegisteredUpstream, text: str) -> None:
+        if self._unreadable_by_id.get(upstream.upstream_id) == text:
+            return
+        self._unreadable_by_id[upstream.upstream_id] = text
+        self._events.warning(
+            "upstream-limit-unreadable", upstream=upstream.upstream_id, value=text
         )
--- a/galenashift/gateway/tests/factories.py
+++ b/galenashift/gateway/tests/factories.py
@@ -1,17 +1,25 @@
 """Factories for the tests of the gateway."""
 
+from random import Random
+
 from galenashift.gateway._stage_job import JobId, StageJob, Worker
+from galenashift.gateway._upstream_limits import UpstreamLimiter
 from galenashift.gateway._view import KnownUpstream
+from galenashift.limits import UpstreamRates
 from galenashift.model import (
+    AnswerFields,
+    DaemonId,
     FailureDomainName,
     InstanceState,
     OrganisationId,
     PieceLimits,
+    RateLimit,
     RegisteredUpstream,
     ServiceName,
     UpstreamId,
 )
 from galenashift.platform import Piece
+from galenashift.telemetry import EventLog, Metrics
 
 #: Calls of up to four pieces of 3 MB each, and memory for the results of six pieces.
 LARGE = PieceLimits(
@@ -72,6 +80,27 @@
     )
 
 
+def new_limiter(clock=lambda: 0.0, *, daemon: str = "d1") -> UpstreamLimiter:
+    return UpstreamLimiter(
+        rates=UpstreamRates(daemon_id=DaemonId(daemon), random=Random(1)),
+        events=EventLog(level="error"),
+        metrics=Metrics(),
+        clock=clock,
+    )
+
+
+def limited_answer(per_s: float) -> AnswerFields:
+    """Return the fields of an answer that states a limit."""
+    return AnswerFields(
+        attempt_id=None,
+        not_executed=False,
+        load=None,
+        cold_left_s=None,
+        signed=False,
+        stated_limit=RateLimit(per_s=per_s),
+    )
+
+
 def new_upstream(
     name: str,
     *,
--- a/galenashift/gateway/tests/relay_fakes.py
+++ b/galenashift/gateway/tests/relay_fakes.py
@@ -24,8 +24,15 @@
 from galenashift.gateway._stage_outcome import StageSucceeded
 from galenashift.gateway._times import ServiceLatencies
 from galenashift.gateway._view import PlatformView
+from galenashift.gateway.tests.factories import limited_answer, new_limiter
 from galenashift.gateway.tests.test_view import item, upstream_item
-from galenashift.model import AnswerFields, DaemonId, FailureDomainName, Handle
+from galenashift.model import (
+    AnswerFields,
+    DaemonId,
+    FailureDomainName,
+    Handle,
+    UpstreamId,
+)
 from galenashift.platform import Bounds, Snapshot, StoreRevision
 from galenashift.retries import Quarantine
 from galenashift.telemetry import EventLog, Metrics
@@ -209,10 +216,12 @@
     headers=(),
     upstreams=3,
     refuse_after_s=None,
+    limits_per_s=(),
 ):
     """Send one request through a relay.
 
     :param outcomes: Outcomes of the exchanges in order, see `FakeExchanger`.
+    :param limits_per_s: Limits that the first upstreams have just stated.
     :param refuse_after_s: Time after which the relay refuses unsent requests.
     """
     exchanger = FakeExchanger(*outcomes)
@@ -226,6 +235,10 @@
             items.append(item("op/config", config))
         snapshot = Snapshot(items=tuple(items), revision=StoreRevision(1))
         view.apply_snapshot(snapshot, now_s=clock())
+        limiter = new_limiter(clock)
+        for number, per_s in enumerate(limits_per_s):
+            limited = view.find(UpstreamId(f"u{number}")).registration
+            limiter.record_answer(limited, limited_answer(per_s), sent_at_s=0.0)
         health = HealthTracker()
         cold = ColdUpstreamLimiter(
             daemon_id=DaemonId("d1"),
@@ -241,6 +254,7 @@
                 failure_domain=FailureDomainName("a"),
                 health=health,
                 cold=cold,
+                limiter=limiter,
                 random=Random(1),
             ),
             exchanger=exchanger,
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -83,6 +83,44 @@
     assert responder.elapsed_s <= 0.4 / 8 + 0.05
 
 
+@pytest.mark.parametrize("name", ["read", "write", "stream"])
+def test_request_goes_to_an_upstream_without_a_limit(name):
+    outcome = StreamEnded(complete=True, started=True, detail="")
+    exchanger, responder = serve(
+        name,
+        outcome if name == "stream" else answered(200),
+        limits_per_s=[1.0, 1.0],
+    )
+    assert exchanger.upstreams == ["u2"]
+    assert responder.status == 200
+
+
+@pytest.mark.parametrize(
+    ("limits_per_s", "retry_after_s"),
+    [([1.0], 1.0), ([0.2], 5.0), ([1.0, 1.0], 0.5), ([5.0, 5.0, 5.0], 0.25)],
+)
+def test_request_is_refused_at_once_if_limits_outlast_its_wait(
+    limits_per_s, retry_after_s
+):
+    # Its deadline would pass without any use. Callers may come back as often as the
+    # upstreams accept requests together, though not all the time.
+    exchanger, responder = serve(
+        "write", upstreams=len(limits_per_s), limits_per_s=limits_per_s
+    )
+    assert exchanger.upstreams == []
+    assert responder.status == 503
+    assert b"not-run" in responder.body
+    assert responder.elapsed_s == 0.0
+    assert responder.retry_after_s == pytest.approx(retry_after_s)
+
+
+def test_request_waits_for_a_permit_that_comes_in_time():
+    # The next permit of a single daemon at 25 requests per second is 0.04 s away.
+    _, responder = serve("read", answered(200), upstreams=1, limits_per_s=[25.0])
+    assert responder.status == 200
+    assert responder.elapsed_s == pytest.approx(0.04)
+
+
 def test_resumable_stream_resumes_after_its_last_event():
     broken_stream = StreamEnded(complete=False, started=True, detail="reset")
     complete_stream = StreamEnded(complete=True, started=True, detail="")
--- a/galenashift/gateway/tests/test_router.py
+++ b/galenashift/gateway/tests/test_router.py
@@ -6,7 +6,7 @@
 from galenashift.gateway._cold_limiter import WINDOW_S, ColdUpstreamLimiter
 from galenashift.gateway._health import HealthTracker
 from galenashift.gateway._router import Router, prefix_key
-from galenashift.gateway.tests.factories import new_upstream
+from galenashift.gateway.tests.factories import new_limiter, new_upstream
 from galenashift.model import (
     DaemonId,
     FailureDomainName,
@@ -39,6 +39,7 @@
         failure_domain=FailureDomainName("a"),
         health=health,
         cold=cold,
+        limiter=new_limiter(),
         random=Random(1),
     )
 
--- a/galenashift/gateway/tests/test_stage_scheduler.py
+++ b/galenashift/gateway/tests/test_stage_scheduler.py
@@ -6,11 +6,17 @@
 import trio.testing
 
 from galenashift.gateway._connection import AnswerHead
-from galenashift.gateway._exchange import Answered, Broken, Refused, Silent
+from galenashift.gateway._exchange import (
+    Answered,
+    Broken,
+    NotSent,
+    Refused,
+    Silent,
+)
 from galenashift.gateway._stage_outcome import StageFailed, StageProblem, StageSucceeded
 from galenashift.gateway._stage_scheduler import StageScheduler
 from galenashift.gateway._view import PlatformView
-from galenashift.gateway.tests.factories import new_job
+from galenashift.gateway.tests.factories import new_job, new_limiter
 from galenashift.gateway.tests.relay_fakes import CONFIG
 from galenashift.gateway.tests.test_view import item, upstream_item
 from galenashift.model import AnswerFields, Handle, ServiceName
@@ -82,6 +88,7 @@
         scheduler = StageScheduler(
             view=view,
             exchanger=exchanger,
+            limiter=new_limiter(trio.current_time),
             events=EventLog(level="error"),
             metrics=Metrics(),
             clock=trio.current_time,
@@ -130,6 +137,14 @@
     assert len(exchanger.calls) == 3
 
 
+def test_call_without_a_permit_does_not_count_as_an_attempt():
+    # Three races for a permit would fail the request, though nothing was executed.
+    limited = NotSent(detail="the upstream's rate limit is used up", limited=True)
+    exchanger, outcome = execute_job(*[limited] * 4, pieces=1)
+    assert isinstance(outcome, StageSucceeded)
+    assert len(exchanger.calls) == 5
+
+
 def test_full_memory_does_not_count_as_an_attempt():
     # While the memory is full, a piece waits until results are freed.
     full = answer({"items": [{"reason": "room"}]})
--- a/galenashift/limits/__init__.py
+++ b/galenashift/limits/__init__.py
@@ -14,6 +14,7 @@
 from ._permit_source import ColdPermitSource
 from ._permits import NEW_GATEKEEPER_WAIT_S, PERMIT_START_TIMEOUT_S, PermitLedger
 from ._pool_admission import PoolAdmission, Slot
+from ._upstream_rates import LimitChange, LimitStatus, UpstreamRates
 
 __all__ = [
     "GRANT_PERIOD_S",
@@ -26,11 +27,14 @@
     "FleetLimitGuard",
     "GrantIssuer",
     "LimitAllocator",
+    "LimitChange",
+    "LimitStatus",
     "PermitLedger",
     "PoolAdmission",
     "Slot",
     "Ticket",
     "TokenBucket",
+    "UpstreamRates",
     "limits_key",
     "max_min_shares",
 ]
