Reject addresses and ids of registrations that cannot be used

Callers saw: requests that were routed to such an entry ended without an answer. Cause: an address such as "..:80" or a host of 70 characters was accepted as a name, and its lookup raised UnicodeError, which is no OSError; an id with white space at an end raised an error of the HTTP library outside the code that handles it. Port 0 and ports such as "+80" were accepted, too. Change: an address is an IPv4 address with a port from 1 to 65535; names have no white space at the ends, and an upstream's id is not empty; a header that cannot be sent fails only its request. Why this works: an entry that cannot be used is reported as unreadable, and names no upstream; the others stay in use.

--- a/galenashift/gateway/_connection.py
+++ b/galenashift/gateway/_connection.py
@@ -105,8 +105,8 @@
 
         :raises ConnectionFailed: If the connection cannot send a request.
         """
-        request = h11.Request(method=method, target=target, headers=headers)
         try:
+            request = h11.Request(method=method, target=target, headers=headers)
             data = self._parser.send(request) or b""
             if body:
                 data += self._parser.send(h11.Data(data=body)) or b""
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -153,6 +153,15 @@
     assert upstream.connections == 1
 
 
+def test_header_that_cannot_be_sent_fails_only_its_request():
+    # The request would end without an answer to its caller.
+    upstream = Upstream(("read", "hang"))
+    request = new_request()
+    request.headers.append((b"x-name", b" a"))
+    outcome = run_exchange(upstream, lambda exchange: exchange(request=request))
+    assert isinstance(outcome, NotSent)
+
+
 def test_limit_binds_as_soon_as_the_head_of_an_answer_states_it():
     # A long stream would otherwise keep the limit from this daemon until its end.
     head = CHUNKED_HEAD.replace(b"Transfer", b"Server-Limit: 1.0\r\nTransfer")
--- a/galenashift/platform/_decoding.py
+++ b/galenashift/platform/_decoding.py
@@ -72,8 +72,8 @@
 def to_text(value: object) -> str:
     """Check a name or an identifier.
 
-    :raises ValueError: If it is not a string, too long, has control characters, or
-        cannot be encoded.
+    :raises ValueError: If it is not a string, too long, cannot be encoded, or has
+        characters that no header can carry.
     """
     if not isinstance(value, str):
         raise ValueError(f"{value!r:.50} is not a string")
@@ -81,6 +81,8 @@
         raise ValueError(f"a text has more than {_MAX_TEXT_LENGTH} characters")
     if not value.isprintable():
         raise ValueError(f"{value!r:.50} has characters that are not printable")
+    if value != value.strip():
+        raise ValueError(f"{value!r:.50} begins or ends with white space")
     value.encode()
     return value
 
--- a/galenashift/platform/_records.py
+++ b/galenashift/platform/_records.py
@@ -248,6 +248,8 @@
     """
     try:
         upstream_id = UpstreamId(to_text(key.removeprefix(UPSTREAM_PREFIX)))
+        if not upstream_id:
+            raise ValueError("the upstream has no id")
         return _parse_upstream(upstream_id, decode_json(value))
     except DECODING_ERRORS as error:
         raise RecordError(f"registration {key} is malformed: {error!r:.300}") from error
--- a/galenashift/platform/_settings.py
+++ b/galenashift/platform/_settings.py
@@ -3,6 +3,7 @@
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
 
@@ -125,11 +126,18 @@
 
 
 def decode_address(text: str) -> Address:
-    """Parse an address such as ``10.0.0.1:80``.
+    """Parse an IPv4 address with a port, such as ``10.0.0.1:80``.
 
-    :raises ValueError: If the text has no port.
+    :raises ValueError: If the text is none. The platform has no name lookups.
     """
     host, _, port = text.rpartition(":")
-    if not host:
-        raise ValueError(f"{text!r} is not an address with a port")
-    return Address(host=host, port=to_integer(int(port), maximum=_MAX_PORT))
+    try:
+        return Address(host=str(IPv4Address(host)), port=_parse_port(port))
+    except ValueError as error:
+        raise ValueError(f"{text!r:.80} is not an IPv4 address with a port") from error
+
+
+def _parse_port(text: str) -> int:
+    if not (text.isascii() and text.isdecimal()):
+        raise ValueError(f"{text!r:.20} is not a port")
+    return to_integer(int(text), minimum=1, maximum=_MAX_PORT)
--- a/galenashift/platform/tests/test_malformed.py
+++ b/galenashift/platform/tests/test_malformed.py
@@ -249,6 +249,46 @@
         _parse_change(body)
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "a" * 70 + ":80",
+        "..:80",
+        "upstream:80",
+        "10.0.0.256:80",
+        "10.0.0:80",
+        "[::1]:80",
+        " 10.0.0.1:80",
+        "10.0.0.1",
+        "10.0.0.1:",
+        "10.0.0.1:0",
+        "10.0.0.1:-1",
+        "10.0.0.1:+80",
+        "10.0.0.1:8_0",
+        "10.0.0.1:65536",
+        "10.0.0.1:" + "9" * 5_000,
+    ],
+)
+def test_address_that_cannot_be_connected_to_is_rejected(address):
+    # Each request routed there would end without an answer, as the connection attempt
+    # raised an error that nothing handled.
+    record = _UPSTREAM | {"address": address}
+    with pytest.raises(RecordError):
+        decode_upstream(key="servers/u1", value=json.dumps(record).encode())
+    daemon = _DAEMON | {"peers": address}
+    with pytest.raises(RecordError):
+        decode_daemon(key="daemons/d1", value=json.dumps(daemon).encode())
+
+
+@pytest.mark.parametrize("upstream_id", ["", " u1", "u1 ", "u\t1"])
+def test_identifier_that_no_header_can_carry_is_rejected(upstream_id):
+    # Each request to that upstream would end without an answer.
+    with pytest.raises(RecordError):
+        decode_upstream(
+            key=f"servers/{upstream_id}", value=json.dumps(_UPSTREAM).encode()
+        )
+
+
 @pytest.mark.parametrize("text", ["a\nb", "\ud800", "x" * 2_000, 7, None])
 def test_text_that_no_header_can_carry_is_rejected(text):
     with pytest.raises(ValueError):
