Refuse requests that cannot be answered before a shutdown ends

Callers saw: in a planned stop, requests that came late in the grace period were taken and sent, and cut at its end, also those that may not be repeated. Cause: a daemon accepts requests until its listener closes, 6.4 s after SIGTERM with a grace of 8 s, and ends at 7.6 s, whatever their answers take. Ruled out: closing the listener earlier, as callers with open connections would get no answer; refusing all requests, as short ones can be answered. Change: from 3 s after SIGTERM, when the load balancer sends no more, a request is refused as not run unless the longest answer of its route in the last minute, with a margin of a quarter, or its own deadline, ends before the process does. Why this works: what is refused has not been sent, and its caller reaches another daemon. Conclusion: an answer that takes longer than all of its route in the last minute by more than a quarter can still be cut.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -36,6 +36,7 @@
 from ._crash_reports import CrashReporter
 from ._crashes import CrashGuard
 from ._drain import Shutdown
+from ._drain_admission import DrainAdmission
 from ._exchange import Exchanger
 from ._health import HealthTracker
 from ._output import BoundedOutput
@@ -169,6 +170,7 @@
             ),
             latencies=latencies,
             crashes=self._crashes,
+            drain_admission=DrainAdmission(drain_period=lambda: self._shutdown.period),
             events=self._events,
             metrics=self._metrics,
             clock=clock,
--- a/galenashift/gateway/_drain.py
+++ b/galenashift/gateway/_drain.py
@@ -1,6 +1,7 @@
 """Graceful shutdown of the daemon."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -17,6 +18,14 @@
 _POLL_INTERVAL_S = 0.05
 
 
+@dataclass(frozen=True, kw_only=True)
+class DrainPeriod:
+    """When a shutdown began and when the process ends, on the boot-time clock."""
+
+    started_at_s: float
+    ends_at_s: float
+
+
 class Shutdown:
     """Keeps the daemon serving after SIGTERM while callers move to other daemons.
 
@@ -33,6 +42,16 @@
         """Whether the daemon is shutting down."""
         return self._started_at_s is not None
 
+    @property
+    def period(self) -> DrainPeriod | None:
+        """When the shutdown began and when the process ends; None before it."""
+        if self._started_at_s is None:
+            return None
+        return DrainPeriod(
+            started_at_s=self._started_at_s,
+            ends_at_s=self._started_at_s + self._grace_s - _KILL_MARGIN_S,
+        )
+
     def begin(self, *, now_s: float) -> None:
         """Start the shutdown.
 
@@ -68,8 +87,8 @@
             that requests on the connections it still accepts can be answered.
         """
         await self._started.wait()
-        assert self._started_at_s is not None
-        end_at_s = self._started_at_s + self._grace_s - _KILL_MARGIN_S
+        assert self.period is not None
+        end_at_s = self.period.ends_at_s
         listening = True
         while clock() < end_at_s:
             quiet = self.should_close_idle(now_s=clock()) and requests() == 0
--- /dev/null
+++ b/galenashift/gateway/_drain_admission.py
@@ -0,0 +1,95 @@
+"""Decides which requests are still accepted during a shutdown."""
+
+from collections import deque
+from collections.abc import Callable
+
+from galenashift.model import Failure, Reason, RouteName, not_run
+
+from ._drain import LISTEN_AFTER_SIGNAL_S, DrainPeriod
+from ._request import ActiveRequest
+
+#: Time for which the duration of an answer is taken into account, in seconds.
+_DURATION_WINDOW_S = 60.0
+#: Allowance for answers that take longer than all recent ones, as a factor.
+_DURATION_MARGIN = 1.25
+#: Most durations that are kept for a route.
+_MAX_DURATIONS = 64
+#: ``Retry-After`` of a refused request, in seconds. A new connection of the caller
+#: reaches another daemon.
+_RETRY_AFTER_S = 0.05
+
+
+class RouteDurations:
+    """The longest recent answer of each route."""
+
+    def __init__(self) -> None:
+        #: Answers of each route with the time of their end. Each one is longer than
+        #: those after it.
+        self._ended_by_route: dict[RouteName, deque[tuple[float, float]]] = {}
+
+    def record(self, route: RouteName, duration_s: float, *, now_s: float) -> None:
+        """Add the duration of a complete answer.
+
+        :param duration_s: Time from the request to the end of its answer, in seconds.
+        :param now_s: Boot-time clock, in seconds.
+        """
+        ended = self._ended_by_route.setdefault(route, deque(maxlen=_MAX_DURATIONS))
+        while ended and ended[-1][1] <= duration_s:
+            ended.pop()
+        if len(ended) < _MAX_DURATIONS:
+            ended.append((now_s, duration_s))
+
+    def longest_s(self, route: RouteName, *, now_s: float) -> float | None:
+        """Return the duration of the longest recent answer in seconds, if any.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        ended = self._ended_by_route.get(route, deque())
+        while ended and now_s - ended[0][0] > _DURATION_WINDOW_S:
+            ended.popleft()
+        return ended[0][1] if ended else None
+
+
+class DrainAdmission:
+    """Refuses requests that may not be answered before the process ends.
+
+    :param drain_period: Returns when the shutdown began and when the process ends, or
+        None while it does not shut down.
+    """
+
+    def __init__(self, *, drain_period: Callable[[], DrainPeriod | None]) -> None:
+        self._drain_period = drain_period
+        self._durations = RouteDurations()
+
+    def record_answer(self, job: ActiveRequest, *, now_s: float) -> None:
+        """Learn from a complete answer.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        duration_s = now_s - job.request.arrived_at_s
+        self._durations.record(job.route.name, duration_s, now_s=now_s)
+
+    def refusal(self, job: ActiveRequest, *, now_s: float) -> Failure | None:
+        """Return the failure of a request that comes too late, if it does.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        period = self._drain_period()
+        # Until then, the load balancer still sends new connections here.
+        if period is None or now_s < period.started_at_s + LISTEN_AFTER_SIGNAL_S:
+            return None
+        longest_s = self._durations.longest_s(job.route.name, now_s=now_s)
+        needed_s = job.deadline_s - now_s
+        if longest_s is not None:
+            needed_s = min(needed_s, _DURATION_MARGIN * longest_s)
+        left_s = period.ends_at_s - now_s
+        if needed_s <= left_s:
+            return None
+        return not_run(
+            reason=Reason.SHUTTING_DOWN,
+            detail=(
+                f"this daemon ends in {max(0.0, left_s):.1f} s, and an answer may take"
+                f" {needed_s:.1f} s"
+            ),
+            retry_after_s=_RETRY_AFTER_S,
+        )
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -20,6 +20,7 @@
 from ._caller import CallerRequest, Responder
 from ._crash_policy import CrashPolicy
 from ._crashes import CrashGuard
+from ._drain_admission import DrainAdmission
 from ._exchange import (
     Answered,
     Broken,
@@ -80,6 +81,7 @@
         budgets: RetryBudgets,
         latencies: ServiceLatencies,
         crashes: CrashGuard,
+        drain_admission: DrainAdmission,
         events: EventLog,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -91,6 +93,7 @@
         self._stages = stages
         self._latencies = latencies
         self._crash_policy = CrashPolicy(crashes=crashes)
+        self._drain_admission = drain_admission
         #: Requests that are being answered.
         self.open_requests = OpenRequests()
         self._recorder = OutcomeRecorder(health=router.health, latencies=latencies)
@@ -119,6 +122,7 @@
             self._log.failed(job, failure)
         else:
             self._log.answered(job, responder)
+            self._drain_admission.record_answer(job, now_s=self._clock())
 
     def _resolve(self, request: CallerRequest) -> ActiveRequest | Failure:
         fields = decode_fields(request)
@@ -132,12 +136,17 @@
             pick_service=self._router.pick_service,
         )
         if not isinstance(job, Failure):
-            refused = self._crash_policy.refusal(job)
+            refused = self._refusal(job)
             job = job if refused is None else refused
         if isinstance(job, Failure):
             self._log.refused(request, job, attempt_id=fields.attempt_id)
         return job
 
+    def _refusal(self, job: ActiveRequest) -> Failure | None:
+        """Return why a request is refused before any of its work, if it is."""
+        late = self._drain_admission.refusal(job, now_s=self._clock())
+        return self._crash_policy.refusal(job) if late is None else late
+
     async def _serve(self, job: ActiveRequest, responder: Responder) -> Failure | None:
         now_s = self._clock()
         self._retries.count_request(job, now_s=now_s)
--- a/galenashift/gateway/tests/relay_fakes.py
+++ b/galenashift/gateway/tests/relay_fakes.py
@@ -9,6 +9,7 @@
 from galenashift.gateway._caller import CallerRequest
 from galenashift.gateway._cold_limiter import ColdUpstreamLimiter
 from galenashift.gateway._connection import AnswerHead
+from galenashift.gateway._drain_admission import DrainAdmission
 from galenashift.gateway._exchange import (
     Answered,
     Broken,
@@ -262,6 +263,7 @@
             budgets=RetryBudgets(bounds=_BOUNDS, daemon_count=lambda: 8),
             latencies=ServiceLatencies(),
             crashes=crashes or FakeCrashes(),
+            drain_admission=DrainAdmission(drain_period=lambda: None),
             events=EventLog(level="error"),
             metrics=Metrics(),
             clock=clock,
