--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -16,6 +16,10 @@
 _MAX_FAULT_DURATION_S = 4.0
 #: Longest pause between the starts of two faults, in seconds.
 _MAX_PAUSE_S = 2.5
+#: Least and most requests per second in the limits that upstreams state.
+_LIMITS_PER_S = (0.5, 3.0)
+#: Shortest and longest time for which an upstream states a limit, in seconds.
+_LIMIT_DURATION_S = (6.0, 12.0)
 #: Longest time from SIGTERM until a daemon has exited, in seconds.
 _TERMINATION_LIMIT_S = 9.0
 
@@ -30,21 +34,40 @@
     to_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class LimitRecord:
+    """A limit that an upstream stated for some time."""
+
+    upstream: str
+    per_s: float
+    from_s: float
+    to_s: float
+
+
 class FaultInjector:
     """Injects faults until ``stopped`` is set, and reverts each.
 
+    :param limit_random: Chooses limits. It is a source of its own, so that the other
+        faults of a seed stay the same.
     :param clock: Monotonic clock, in seconds.
     """
 
     def __init__(
-        self, *, deployment: Deployment, random: Random, clock: Callable[[], float]
+        self,
+        *,
+        deployment: Deployment,
+        random: Random,
+        limit_random: Random,
+        clock: Callable[[], float],
     ) -> None:
         self._deployment = deployment
         self._random = random
+        self._limit_random = limit_random
         self._clock = clock
         self.stopped = False
         self._nursery: trio.Nursery | None = None
         self.records: list[FaultRecord] = []
+        self.limits: list[LimitRecord] = []
         #: Violated guarantees that showed when a fault was reverted.
         self.violations: list[str] = []
 
@@ -73,10 +96,34 @@
         ]
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._state_limits)
             while not self.stopped:
                 nursery.start_soon(self._inject, self._random.choice(faults))
                 await trio.sleep(self._random.uniform(0.2, _MAX_PAUSE_S))
 
+    async def _state_limits(self) -> None:
+        """Let one upstream after the other state a limit in its answers."""
+        upstreams = [
+            each for each in self._deployment.upstreams if each.kind is not Kind.STREAM
+        ]
+        while not self.stopped:
+            upstream = self._limit_random.choice(upstreams)
+            per_s = round(self._limit_random.uniform(*_LIMITS_PER_S), 2)
+            from_s = self._clock()
+            to_s = from_s + self._limit_random.uniform(*_LIMIT_DURATION_S)
+            upstream.stated_limit = f"{per_s}"
+            while self._clock() < to_s and not self.stopped:
+                await trio.sleep(0.1)
+            upstream.stated_limit = None
+            self.limits.append(
+                LimitRecord(
+                    upstream=upstream.name,
+                    per_s=per_s,
+                    from_s=from_s,
+                    to_s=self._clock(),
+                )
+            )
+
     async def _inject(self, kind: Callable[[], Awaitable[str]]) -> None:
         from_s = self._clock()
         target = await kind()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,7 +8,7 @@
 import trio
 
 from ._callers import AttemptResult, CallerPool
-from ._checks import check_attempts
+from ._checks import check_attempts, check_limits
 from ._deployment import Deployment
 from ._faults import FaultInjector
 from ._report import SeedOutcome
@@ -50,7 +50,12 @@
 
     deployment = Deployment(folder=folder, random=random, clock=clock)
     caller_pool = CallerPool(daemons=deployment.daemons, random=random, clock=clock)
-    faults = FaultInjector(deployment=deployment, random=random, clock=clock)
+    faults = FaultInjector(
+        deployment=deployment,
+        random=random,
+        limit_random=Random(f"limits of {seed}"),
+        clock=clock,
+    )
     try:
         async with trio.open_nursery() as nursery:
             await deployment.start(nursery, daemons=daemons)
@@ -68,6 +73,7 @@
     finally:
         deployment.end()
     violations = check_attempts(caller_pool.attempts, deployment.upstreams)
+    violations += check_limits(faults.limits, deployment.upstreams, faults.records)
     violations += faults.violations
     violations += [] if recovered else ["service has not recovered after the faults"]
     violations += _find_crashes(folder)
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -5,7 +5,8 @@
 import pytest
 
 from soak._callers import Attempt, AttemptResult
-from soak._checks import check_attempts
+from soak._checks import check_attempts, check_limits
+from soak._faults import FaultRecord, LimitRecord
 from standins._platform_upstream import Execution, Kind, Upstream
 
 _STREAM = b"".join(f"id: {i}\ndata: a1\n\n".encode() for i in range(1, 7))
@@ -64,3 +65,25 @@
     # Guards against checks that pass whatever the daemons do.
     (violation,) = find_violations(make_attempt(**changes), runs=runs)
     assert text in violation
+
+
+@pytest.mark.parametrize(
+    ("interval_s", "fault", "violated"),
+    [
+        (0.5, None, False),
+        (0.3, None, True),
+        (0.3, "kill", False),
+        (0.3, "slow_upstream", True),
+    ],
+)
+def test_requests_beyond_a_stated_limit_are_violations(interval_s, fault, violated):
+    # A restart of a daemon excuses what it sends, and other faults do not.
+    upstream = Upstream(
+        name="u1", service="s", kind=Kind.PLAIN, clock=lambda: 0.0, random=Random(1)
+    )
+    upstream.arrived_at_s += [number * interval_s for number in range(60)]
+    limit = LimitRecord(upstream="u1", per_s=1.0, from_s=0.0, to_s=12.0)
+    faults = []
+    if fault is not None:
+        faults = [FaultRecord(name=fault, target="d1", from_s=3.0, to_s=8.0)]
+    assert bool(check_limits([limit], [upstream], faults)) is violated
--- a/soak/tests/test_stated_limits.py
+++ b/soak/tests/test_stated_limits.py
@@ -24,6 +24,11 @@
 SENDING_S = 14.0
 PAUSE_S = 0.04
 STAGED_PAUSE_S = 0.16
+#: Time within which all daemons notice the end of a limit: a permit of a sender takes
+#: up to 5 s at a limit of 1 per second. Then, the time for which requests are counted,
+#: in seconds.
+NOTICE_S = 7.0
+USED_AGAIN_S = 7.0
 #: Latency goal of the routes, in seconds.
 GOAL_S = 0.5
 _TIMEOUT_S = 15.0
@@ -86,10 +91,10 @@
         if status == 503:
             self.refused_after_s.append(time.monotonic() - sent_at_s)
 
-    async def send_steadily(self, route, *, pause_s=PAUSE_S):
+    async def send_steadily(self, route, *, pause_s=PAUSE_S, for_s=SENDING_S):
         daemons = itertools.cycle(self.deployment.daemons)
         async with trio.open_nursery() as nursery:
-            end_s = time.monotonic() + SENDING_S
+            end_s = time.monotonic() + for_s
             while time.monotonic() < end_s:
                 nursery.start_soon(self.record, next(daemons), route)
                 await trio.sleep(pause_s)
@@ -167,20 +172,20 @@
     run(tmp_path, scenario)
 
 
-@pytest.mark.parametrize("daemons", [5, 10])
+@pytest.mark.parametrize("daemons", [5, 16])
 def test_upstream_is_used_again_after_its_limit_ends(tmp_path, daemons):
     # Guards against a limit that stays in force at daemons that no longer hear from
-    # the upstream. Of ten daemons, five do not send to it while it is limited.
+    # the upstream. Of 16 daemons, eleven do not send to it while it is limited.
     async def scenario(harness):
         limited = harness.upstreams("plain")[0]
         limited.stated_limit = f"{LIMIT_PER_S}"
         await harness.send_steadily("read")
         limited.stated_limit = None
-        await harness.send_steadily("read")
+        await harness.send_steadily("read", for_s=NOTICE_S)
         from_s = time.monotonic()
-        await harness.send_steadily("read")
+        await harness.send_steadily("read", for_s=USED_AGAIN_S)
         share = sum(each >= from_s for each in limited.arrived_at_s)
-        expected = SENDING_S / PAUSE_S / 3
-        assert share >= 0.75 * expected
+        expected = USED_AGAIN_S / PAUSE_S / 3
+        assert share >= 0.8 * expected
 
     run(tmp_path, scenario, daemons=daemons)
