Share one harness between the process tests of single failures

Cause: four process tests started daemons, waited for them and sent requests in the same lines. Change: soak/tests/harness.py does that; each test keeps its stand-ins, bounds, times and checks.

--- a/soak/tests/test_stated_limits.py
+++ b/soak/tests/test_stated_limits.py
@@ -3,13 +3,11 @@
 import itertools
 import statistics
 import time
-from random import Random
 
-import httpcore
 import pytest
 import trio
 
-from soak._deployment import API_KEY, Deployment
+from soak.tests.harness import Harness, run
 
 pytestmark = pytest.mark.process
 
@@ -31,68 +29,30 @@
 USED_AGAIN_S = 7.0
 #: Latency goal of the routes, in seconds.
 GOAL_S = 0.5
-_TIMEOUT_S = 15.0
+#: Time after which an answer counts as missing, in seconds.
+_ANSWER_TIMEOUT_S = 6.0
 
 
-class Harness:
-    """Some daemons, and three upstreams of each service."""
+class StatedLimits(Harness):
+    """Records the answers to requests that are sent at a steady rate."""
 
     def __init__(self, tmp_path, *, daemons=5):
-        self.daemons = daemons
-        self.deployment = Deployment(
-            folder=tmp_path, random=Random(7), clock=time.monotonic
-        )
-        self.numbers = itertools.count(1)
+        super().__init__(tmp_path, daemons=daemons)
         self.statuses = []
         self.refused_after_s = []
 
-    def upstreams(self, service):
-        return [each for each in self.deployment.upstreams if each.service == service]
-
-    async def start(self, nursery):
-        await self.deployment.start(nursery, daemons=self.daemons)
-        with trio.fail_after(_TIMEOUT_S):
-            while len(self.deployment.store.keys("daemons/")) < self.daemons:
-                await trio.sleep(0.05)
-            for daemon in self.deployment.daemons:
-                while await self.send(daemon, "read") != 200:
-                    await trio.sleep(0.1)
-
-    async def send(self, daemon, route):
-        attempt = f"{next(self.numbers):08x}"
-        headers = {
-            "Host": "soak.example",
-            "X-Api-Key": API_KEY,
-            "Galenashift-Attempt-Id": attempt,
-            "Galenashift-Deadline-Ms": "4000",
-            "Galenashift-Token-Usage": "100,30",
-            "Galenashift-Prefix-Hash": f"first:90,own{attempt}:9",
-        }
-        if route == "staged":
-            headers |= {
-                "Galenashift-Pieces": "2,1",
-                "Galenashift-Piece-Key": f"key-{attempt}",
-            }
-        with trio.move_on_after(6.0):
-            async with httpcore.AsyncConnectionPool() as pool:
-                response = await pool.request(
-                    "POST",
-                    f"{daemon.url}/{route}/x",
-                    headers=list(headers.items()),
-                    content=attempt.encode(),
-                )
-                return response.status
-        return None
-
     async def record(self, daemon, route):
         sent_at_s = time.monotonic()
-        status = await self.send(daemon, route)
+        status = None
+        with trio.move_on_after(_ANSWER_TIMEOUT_S):
+            pieces = "2,1" if route == "staged" else None
+            status = await self.send(daemon, route, pieces=pieces)
         self.statuses.append(status)
         if status == 503:
             self.refused_after_s.append(time.monotonic() - sent_at_s)
 
     async def send_steadily(self, route, *, pause_s=PAUSE_S, for_s=SENDING_S):
-        daemons = itertools.cycle(self.deployment.daemons)
+        daemons = itertools.cycle(self.daemons)
         async with trio.open_nursery() as nursery:
             end_s = time.monotonic() + for_s
             while time.monotonic() < end_s:
@@ -100,20 +60,6 @@
                 await trio.sleep(pause_s)
 
 
-def run(tmp_path, scenario, **options):
-    async def main():
-        harness = Harness(tmp_path, **options)
-        try:
-            async with trio.open_nursery() as nursery:
-                await harness.start(nursery)
-                await scenario(harness)
-                nursery.cancel_scope.cancel()
-        finally:
-            harness.deployment.end()
-
-    trio.run(main)
-
-
 def most_in_window(times_s, *, from_s):
     """Return the most times within any window that begins at or after `from_s`."""
     late = [each for each in times_s if each >= from_s]
@@ -145,7 +91,7 @@
         # The others serve what the limited one does not take.
         assert harness.statuses.count(200) >= 0.9 * len(harness.statuses)
 
-    run(tmp_path, scenario)
+    run(StatedLimits(tmp_path), scenario)
 
 
 def test_requests_are_refused_at_once_if_all_upstreams_are_limited(tmp_path):
@@ -169,7 +115,7 @@
         # Half of what the upstreams accept is used at least.
         assert len(served) >= 0.5 * 3 * LIMIT_PER_S * (SENDING_S - CONTACT_S)
 
-    run(tmp_path, scenario)
+    run(StatedLimits(tmp_path), scenario)
 
 
 @pytest.mark.parametrize("daemons", [5, 16])
@@ -188,4 +134,4 @@
         expected = USED_AGAIN_S / PAUSE_S / 3
         assert share >= 0.8 * expected
 
-    run(tmp_path, scenario, daemons=daemons)
+    run(StatedLimits(tmp_path, daemons=daemons), scenario)
