Let daemons that start learn reported limits, and share the turns of reports

Cause: found in the read-through. A daemon that starts reads the report of a limit before the registration, which is written again and again, and dropped it; reports of upstreams that are gone stayed in the view after a new listing; the turns of daemons that report the same stood twice. Durations of answers of a route were no longer recorded after 64 ever shorter ones. Change: a registration applies what was reported on its upstream; a listing drops other reports; report_turn serves crash and limit reports; old durations make room first.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -353,7 +353,7 @@
         elif name in {"peer-registered", "peer-removed"}:
             self._cold_limiter.set_daemons(self._view.peers_by_id)
             self._rates.set_daemons(self._view.peers_by_id, now_s=self._clock())
-        elif name == "upstream-limit-reported":
+        elif name in {"upstream-limit-reported", "upstream-registered"}:
             self._limit_reporter.apply(UpstreamId(str(fields["upstream"])))
         elif name in {"upstream-removed", "upstream-lapsed"}:
             self._remove_upstream(UpstreamId(str(fields["upstream"])))
--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -29,7 +29,7 @@
 from galenashift.telemetry import EventLog, Metrics
 
 from ._connection import ConnectFailed, open_socket
-from ._record_writer import RecordWriter
+from ._record_writer import RecordWriter, report_turn
 from ._unconfirmed_crashes import Suspicion, UnconfirmedCrashes
 from ._view import PlatformView
 
@@ -41,11 +41,8 @@
 _CONFIRMATION_INTERVAL_S = 0.25
 #: Time between two checks for crashes to forget, in seconds.
 _EXPIRY_INTERVAL_S = 2.0
-#: Daemons that report a cleared suspect at different times, so that the report of the
-#: first one spares those of the others.
-_RANKED_DAEMONS = 20
-#: Time between the reports of two of these daemons, in seconds.
-_RANK_DELAY_S = 0.1
+#: Time between the reports of two daemons that a suspect is cleared, in seconds.
+_TURN_INTERVAL_S = 0.1
 #: Crashes whose own reports are kept, to be merged with later suspicions.
 _MAX_OWN_CRASHES = 64
 
@@ -284,19 +281,14 @@
 
     async def _report_cleared_in_turn(self, suspect: SuspectId) -> None:
         since_s = self._clock()
-        await trio.sleep(_RANK_DELAY_S * self._rank(suspect))
+        turn = report_turn(
+            key=suspect, daemon_id=self._daemon_id, daemons=self._view.peers_by_id
+        )
+        await trio.sleep(_TURN_INTERVAL_S * turn)
         if self._evidence.was_reported_cleared(suspect, since_s=since_s):
             return
         self._reporter.enqueue(key=cleared_key(suspect), value=encode_cleared(suspect))
 
-    def _rank(self, suspect: SuspectId) -> int:
-        ranked = rank_daemons(
-            key=suspect, daemons=self._view.peers_by_id, count=_RANKED_DAEMONS
-        )
-        if self._daemon_id in ranked:
-            return ranked.index(self._daemon_id)
-        return len(ranked)
-
 
 async def _probe(upstream: RegisteredUpstream) -> _Probe:
     try:
--- a/galenashift/gateway/_drain_admission.py
+++ b/galenashift/gateway/_drain_admission.py
@@ -33,7 +33,7 @@
         :param duration_s: Time from the request to the end of its answer, in seconds.
         :param now_s: Boot-time clock, in seconds.
         """
-        ended = self._ended_by_route.setdefault(route, deque(maxlen=_MAX_DURATIONS))
+        ended = self._recent(route, now_s)
         while ended and ended[-1][1] <= duration_s:
             ended.pop()
         if len(ended) < _MAX_DURATIONS:
@@ -44,10 +44,14 @@
 
         :param now_s: Boot-time clock, in seconds.
         """
-        ended = self._ended_by_route.get(route, deque())
+        ended = self._recent(route, now_s)
+        return ended[0][1] if ended else None
+
+    def _recent(self, route: RouteName, now_s: float) -> deque[tuple[float, float]]:
+        ended = self._ended_by_route.setdefault(route, deque())
         while ended and now_s - ended[0][0] > _DURATION_WINDOW_S:
             ended.popleft()
-        return ended[0][1] if ended else None
+        return ended
 
 
 class DrainAdmission:
--- a/galenashift/gateway/_limit_reports.py
+++ b/galenashift/gateway/_limit_reports.py
@@ -4,20 +4,16 @@
 
 import trio
 
-from galenashift.membership import rank_daemons
 from galenashift.model import DaemonId, RegisteredUpstream, UpstreamId
 from galenashift.platform import LimitReport, encode_limit, limit_key
 
-from ._record_writer import RecordWriter
+from ._record_writer import RecordWriter, report_turn
 from ._upstream_limits import UpstreamLimiter
 from ._view import PlatformView
 
-#: Daemons that report a limit at different times, so that the report of the first one
-#: spares those of the others.
-_RANKED_DAEMONS = 20
-#: Time between the reports of two of these daemons, in seconds. It covers the time that
-#: a report takes to reach the others.
-_RANK_DELAY_S = 0.3
+#: Time between the reports of two daemons, in seconds. It covers the time that a report
+#: takes to reach the others.
+_TURN_INTERVAL_S = 0.3
 
 
 class LimitReporter:
@@ -54,10 +50,12 @@
             await trio.sleep_forever()
 
     def apply(self, upstream_id: UpstreamId) -> None:
-        """Apply what another daemon has reported on an upstream."""
-        report = self._view.limit_reports_by_id[upstream_id]
+        """Apply what another daemon has reported on an upstream, if it has."""
+        report = self._view.limit_reports_by_id.get(upstream_id)
         known = self._view.find(upstream_id)
-        if known is not None and report.is_about(known.registration):
+        if report is None or known is None:
+            return
+        if report.is_about(known.registration):
             self._limiter.record_report(known.registration, report.per_s)
 
     def _report_later(self, upstream: RegisteredUpstream) -> None:
@@ -67,7 +65,12 @@
 
     async def _report_in_turn(self, upstream: RegisteredUpstream) -> None:
         try:
-            await trio.sleep(_RANK_DELAY_S * (1 + self._rank(upstream.upstream_id)))
+            turn = report_turn(
+                key=upstream.upstream_id,
+                daemon_id=self._daemon_id,
+                daemons=self._view.peers_by_id,
+            )
+            await trio.sleep(_TURN_INTERVAL_S * (1 + turn))
         finally:
             self._pending.discard(upstream.upstream_id)
         status = self._limiter.status(upstream, now_s=self._clock())
@@ -79,11 +82,3 @@
         if report != self._view.limit_reports_by_id.get(upstream.upstream_id):
             key = limit_key(upstream.upstream_id)
             self._writer.enqueue(key=key, value=encode_limit(report))
-
-    def _rank(self, upstream_id: UpstreamId) -> int:
-        ranked = rank_daemons(
-            key=upstream_id, daemons=self._view.peers_by_id, count=_RANKED_DAEMONS
-        )
-        if self._daemon_id in ranked:
-            return ranked.index(self._daemon_id)
-        return len(ranked)
--- a/galenashift/gateway/_record_writer.py
+++ b/galenashift/gateway/_record_writer.py
@@ -1,11 +1,13 @@
 """Writes this daemon's reports to the store until it accepts them."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from random import Random
 from typing import Protocol
 
 import trio
 
+from galenashift.membership import rank_daemons
+from galenashift.model import DaemonId
 from galenashift.platform import (
     MAX_RECORDS_PER_WRITE,
     LeaseId,
@@ -24,10 +26,22 @@
 _MAX_RETRY_PAUSE_S = 1.0
 #: Age up to which a lease is used for further records, in seconds.
 _LEASE_REUSE_S = 60.0
+#: Daemons that have a turn of their own to report; all others come after them.
+_RANKED_DAEMONS = 20
 #: Records that wait to be written; further ones are dropped.
 _MAX_PENDING = 512
 
 
+def report_turn(*, key: str, daemon_id: DaemonId, daemons: Collection[DaemonId]) -> int:
+    """Return how many daemons report on a key before this one.
+
+    Daemons that learn the same report it one after the other, so that the report of the
+    first one spares those of the others.
+    """
+    ranked = rank_daemons(key=key, daemons=daemons, count=_RANKED_DAEMONS)
+    return ranked.index(daemon_id) if daemon_id in ranked else len(ranked)
+
+
 class RecordStore(Protocol):
     """Store of the reports of all daemons."""
 
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -173,6 +173,9 @@
         for daemon_id in list(self.peers_by_id):
             if DAEMON_PREFIX + daemon_id not in keys:
                 self._remove_peer(daemon_id)
+        for upstream_id in list(self.limit_reports_by_id):
+            if LIMIT_PREFIX + upstream_id not in keys:
+                del self.limit_reports_by_id[upstream_id]
         for domain in list(self.evacuated):
             if EVACUATION_PREFIX + domain not in keys:
                 self._end_evacuation(domain)
--- a/galenashift/limits/_upstream_rates.py
+++ b/galenashift/limits/_upstream_rates.py
@@ -1,10 +1,10 @@
 """Shares of the rates of requests that upstreams state.
 
 An upstream in need states how many requests per second it accepts from all daemons
-together. Daemons exchange no messages about it: rendezvous hashing chooses a few
-senders for each limited upstream, and each of them has an equal share. With many
-senders, each of them would seldom have a permit, and when all have one, their requests
-could arrive at the same moment.
+together. Rendezvous hashing chooses a few senders for each limited upstream, and each
+of them has an equal share, so that no request needs a message. With many senders, each
+would seldom have a permit, and the requests of all that have saved one up could arrive
+at the same moment.
 
 Nothing here does input or output, and the time is an argument. Clocks are the boot-time
 clock, in seconds.
@@ -46,9 +46,9 @@
 #: Longest time until such a request after other daemons report the end of the limit, in
 #: seconds for each daemon of the fleet, so that they do not all come at once.
 _MAX_TRIAL_INTERVAL_AFTER_END_S = 0.05
-#: Time for which what an upstream states counts more than what others report, in
-#: seconds.
-_OWN_WORD_S = 5.0
+#: Time for which what an upstream states to this daemon counts more than what other
+#: daemons report, in seconds.
+_STATEMENT_PRECEDENCE_S = 5.0
 #: Time for which daemons that are no longer listed count, in seconds. After an outage
 #: of the store, all registrations may be missing for a moment.
 _DAEMON_HOLD_S = 10.0
@@ -206,7 +206,10 @@
             finds out with one request.
         """
         limited = self._find(upstream)
-        if limited is not None and now_s - limited.stated_at_s < _OWN_WORD_S:
+        if (
+            limited is not None
+            and now_s - limited.stated_at_s < _STATEMENT_PRECEDENCE_S
+        ):
             return None
         if per_s is not None:
             return self._apply_limit(upstream, per_s, now_s=now_s)
