--- a/galenashift/gateway/tests/factories.py
+++ b/galenashift/gateway/tests/factories.py
@@ -101,6 +101,20 @@
     )
 
 
+def registration_at(port: int, *, name: str = "u1") -> RegisteredUpstream:
+    """Return the registration of an upstream on loopback."""
+    return RegisteredUpstream(
+        upstream_id=UpstreamId(name),
+        service=ServiceName("pool"),
+        host="127.0.0.1",
+        port=port,
+        failure_domain=FailureDomainName("a"),
+        state=InstanceState.READY,
+        slots=4,
+        cold_left_s=0.0,
+    )
+
+
 def new_upstream(
     name: str,
     *,
