Test a stated limit of a stage at a load that needs its upstream

In their logs the batching daemon makes one call to the limited upstream and all later ones, 87 and 88, to the two others; no piece ever waits, and all requests are served. Two calls of 0.12 and 0.14 s in every 0.16 s keep 1.7 upstreams busy, so one of the two others was always idle, and a new upstream that was slower in its first call is not chosen then. The limit was not the reason: the load was wrong. Ruled out: a permit that is never given; the others would have had waiting pieces. Change: a request every 0.1 s, which two upstreams cannot serve. All checks stay. Conclusion: a fault of the test, not of the daemon.

--- a/soak/tests/test_stated_limits.py
+++ b/soak/tests/test_stated_limits.py
@@ -18,10 +18,11 @@
 WINDOW_S = 4.0
 MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 #: Time for which requests are sent, and time between two of them, in seconds. Requests
-#: with stages make several calls, which three upstreams can just execute.
+#: with stages make two calls of 0.12 to 0.18 s each. Two upstreams are too few for
+#: them, so that the limited one is needed as well.
 SENDING_S = 14.0
 PAUSE_S = 0.04
-STAGED_PAUSE_S = 0.16
+STAGED_PAUSE_S = 0.1
 #: Time within which all daemons notice the end of a limit: a permit of a sender takes
 #: up to 5 s at a limit of 1 per second. Then, the time for which requests are counted,
 #: in seconds.
