Send requests at a steady rate by the harness of the process tests

Cause: only the tests of stated limits could send at a steady rate, and the stand-ins did not record which request arrived when, so that what one daemon sent could not be told apart. Change: the harness records daemon, times and status of each request, and the stand-in the attempt of each arrival. No check changes. Conclusion: further tests of single failures can use it.

--- a/soak/tests/harness.py
+++ b/soak/tests/harness.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+from dataclasses import dataclass
 from random import Random
 
 import httpcore
@@ -10,6 +11,20 @@
 from soak._deployment import API_KEY, Deployment
 
 _START_TIMEOUT_S = 15.0
+#: Time after which an answer counts as missing, in seconds.
+_ANSWER_TIMEOUT_S = 6.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class SentRequest:
+    """A request that a test has sent, with times on the monotonic clock."""
+
+    attempt_id: str
+    daemon: str
+    sent_at_s: float
+    ended_at_s: float
+    #: None if there was no answer.
+    status: int | None
 
 
 class Harness:
@@ -24,6 +39,8 @@
             folder=tmp_path, random=Random(7), clock=time.monotonic
         )
         self.numbers = itertools.count(1)
+        #: Requests of `send_steadily`, in the order in which they ended.
+        self.sent: list[SentRequest] = []
 
     @property
     def daemons(self):
@@ -45,15 +62,57 @@
                 while await self.send(daemon, "read") != 200:
                     await trio.sleep(0.1)
 
-    async def send(self, daemon, route, *, parts=None, body=None, pieces=None):
+    @property
+    def statuses(self):
+        """Statuses of the answers to the requests of `send_steadily`."""
+        return [each.status for each in self.sent]
+
+    async def send_steadily(self, route, *, pause_s, for_s):
+        """Send requests to all daemons in turn, and record the answers.
+
+        :param pause_s: Time between two requests, in seconds.
+        :param for_s: Time for which requests are sent, in seconds.
+        """
+        daemons = itertools.cycle(self.daemons)
+        async with trio.open_nursery() as nursery:
+            end_s = time.monotonic() + for_s
+            while time.monotonic() < end_s:
+                nursery.start_soon(self._record, next(daemons), route)
+                await trio.sleep(pause_s)
+
+    async def _record(self, daemon, route):
+        attempt = self.next_attempt()
+        sent_at_s = time.monotonic()
+        status = None
+        with trio.move_on_after(_ANSWER_TIMEOUT_S):
+            pieces = "2,1" if route == "staged" else None
+            status = await self.send(daemon, route, pieces=pieces, attempt=attempt)
+        self.sent.append(
+            SentRequest(
+                attempt_id=attempt,
+                daemon=daemon.name,
+                sent_at_s=sent_at_s,
+                ended_at_s=time.monotonic(),
+                status=status,
+            )
+        )
+
+    def next_attempt(self):
+        """Return a new attempt id."""
+        return f"{next(self.numbers):08x}"
+
+    async def send(
+        self, daemon, route, *, parts=None, body=None, pieces=None, attempt=None
+    ):
         """Send a request on a new connection, and return the status of its answer.
 
         :param parts: Value of the header with the prompt parts.
         :param body: The id of the attempt if it is None.
+        :param attempt: The id of the attempt; a new one if it is None.
         :raises httpcore.NetworkError: If there is no answer.
         :raises httpcore.ProtocolError: If the answer is not complete.
         """
-        attempt = f"{next(self.numbers):08x}"
+        attempt = attempt or self.next_attempt()
         headers = {
             "Host": "soak.example",
             "X-Api-Key": API_KEY,
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -7,7 +7,7 @@
 from soak._callers import Attempt, AttemptResult
 from soak._checks import check_attempts, check_limits
 from soak._faults import FaultRecord, LimitRecord
-from standins._platform_upstream import Execution, Kind, Upstream
+from standins._platform_upstream import Arrival, Execution, Kind, Upstream
 
 _STREAM = b"".join(f"id: {i}\ndata: a1\n\n".encode() for i in range(1, 7))
 
@@ -81,7 +81,9 @@
     upstream = Upstream(
         name="u1", service="s", kind=Kind.PLAIN, clock=lambda: 0.0, random=Random(1)
     )
-    upstream.arrived_at_s += [number * interval_s for number in range(60)]
+    upstream.arrivals += [
+        Arrival(attempt_id=None, at_s=number * interval_s) for number in range(60)
+    ]
     limit = LimitRecord(upstream="u1", per_s=1.0, from_s=0.0, to_s=12.0)
     faults = []
     if fault is not None:
--- a/soak/tests/test_stated_limits.py
+++ b/soak/tests/test_stated_limits.py
@@ -1,11 +1,9 @@
 """An upstream that states a limit gets no more requests than that from all daemons."""
 
-import itertools
 import statistics
 import time
 
 import pytest
-import trio
 
 from soak.tests.harness import Harness, run
 
@@ -30,35 +28,6 @@
 USED_AGAIN_S = 7.0
 #: Latency goal of the routes, in seconds.
 GOAL_S = 0.5
-#: Time after which an answer counts as missing, in seconds.
-_ANSWER_TIMEOUT_S = 6.0
-
-
-class StatedLimits(Harness):
-    """Records the answers to requests that are sent at a steady rate."""
-
-    def __init__(self, tmp_path, *, daemons=5):
-        super().__init__(tmp_path, daemons=daemons)
-        self.statuses = []
-        self.refused_after_s = []
-
-    async def record(self, daemon, route):
-        sent_at_s = time.monotonic()
-        status = None
-        with trio.move_on_after(_ANSWER_TIMEOUT_S):
-            pieces = "2,1" if route == "staged" else None
-            status = await self.send(daemon, route, pieces=pieces)
-        self.statuses.append(status)
-        if status == 503:
-            self.refused_after_s.append(time.monotonic() - sent_at_s)
-
-    async def send_steadily(self, route, *, pause_s=PAUSE_S, for_s=SENDING_S):
-        daemons = itertools.cycle(self.daemons)
-        async with trio.open_nursery() as nursery:
-            end_s = time.monotonic() + for_s
-            while time.monotonic() < end_s:
-                nursery.start_soon(self.record, next(daemons), route)
-                await trio.sleep(pause_s)
 
 
 def most_in_window(times_s, *, from_s):
@@ -86,13 +55,13 @@
         limited = harness.upstreams(service)[0]
         limited.stated_limit = f"{LIMIT_PER_S}"
         from_s = time.monotonic() + CONTACT_S
-        await harness.send_steadily(route, pause_s=pause_s)
+        await harness.send_steadily(route, pause_s=pause_s, for_s=SENDING_S)
         assert most_in_window(limited.arrived_at_s, from_s=from_s) <= MAX_IN_WINDOW
         assert any(each >= from_s for each in limited.arrived_at_s)
         # The others serve what the limited one does not take.
         assert harness.statuses.count(200) >= 0.9 * len(harness.statuses)
 
-    run(StatedLimits(tmp_path), scenario)
+    run(Harness(tmp_path, daemons=5), scenario)
 
 
 def test_requests_are_refused_at_once_if_all_upstreams_are_limited(tmp_path):
@@ -102,11 +71,16 @@
         for each in harness.upstreams("plain"):
             each.stated_limit = f"{LIMIT_PER_S}"
         from_s = time.monotonic() + CONTACT_S
-        await harness.send_steadily("read")
+        await harness.send_steadily("read", pause_s=PAUSE_S, for_s=SENDING_S)
         for each in harness.upstreams("plain"):
             assert most_in_window(each.arrived_at_s, from_s=from_s) <= MAX_IN_WINDOW
         assert set(harness.statuses) == {200, 503}
-        assert statistics.median(harness.refused_after_s) <= GOAL_S / 2
+        refused_after_s = [
+            each.ended_at_s - each.sent_at_s
+            for each in harness.sent
+            if each.status == 503
+        ]
+        assert statistics.median(refused_after_s) <= GOAL_S / 2
         served = [
             time_s
             for each in harness.upstreams("plain")
@@ -116,7 +90,7 @@
         # Half of what the upstreams accept is used at least.
         assert len(served) >= 0.5 * 3 * LIMIT_PER_S * (SENDING_S - CONTACT_S)
 
-    run(StatedLimits(tmp_path), scenario)
+    run(Harness(tmp_path, daemons=5), scenario)
 
 
 @pytest.mark.parametrize("daemons", [5, 16])
@@ -126,13 +100,13 @@
     async def scenario(harness):
         limited = harness.upstreams("plain")[0]
         limited.stated_limit = f"{LIMIT_PER_S}"
-        await harness.send_steadily("read")
+        await harness.send_steadily("read", pause_s=PAUSE_S, for_s=SENDING_S)
         limited.stated_limit = None
-        await harness.send_steadily("read", for_s=NOTICE_S)
+        await harness.send_steadily("read", pause_s=PAUSE_S, for_s=NOTICE_S)
         from_s = time.monotonic()
-        await harness.send_steadily("read", for_s=USED_AGAIN_S)
+        await harness.send_steadily("read", pause_s=PAUSE_S, for_s=USED_AGAIN_S)
         share = sum(each >= from_s for each in limited.arrived_at_s)
         expected = USED_AGAIN_S / PAUSE_S / 3
         assert share >= 0.8 * expected
 
-    run(StatedLimits(tmp_path, daemons=daemons), scenario)
+    run(Harness(tmp_path, daemons=daemons), scenario)
--- a/standins/_platform_upstream.py
+++ b/standins/_platform_upstream.py
@@ -16,6 +16,7 @@
 _MISDIRECTED = 421
 _OVERLOADED = 503
 _INPUT_GONE = 409
+_FREE_PATH = "/galenashift/stage-free"
 
 
 class Kind(Enum):
@@ -37,6 +38,15 @@
     target: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request of any kind that has reached an upstream."""
+
+    #: None for a request without one, such as a call of a stage.
+    attempt_id: str | None
+    at_s: float
+
+
 @dataclass(kw_only=True)
 class Upstream:
     """One upstream, whose faults can be changed while it runs.
@@ -58,8 +68,8 @@
     answer_loss_probability: float = 0.0
     stream_break_probability: float = 0.0
     executions: list[Execution] = field(default_factory=list)
-    #: Times at which requests of any kind arrived, on `clock`.
-    arrived_at_s: list[float] = field(default_factory=list)
+    #: All requests in the order of their arrival, with times on `clock`.
+    arrivals: list[Arrival] = field(default_factory=list)
     #: Attempt and stage of each stored result, by handle.
     results: dict[str, tuple[str, int]] = field(default_factory=dict)
     #: Descriptions of requests that violated the protocol.
@@ -79,13 +89,19 @@
     #: All stage upstreams of the deployment, by address.
     stages_by_address: dict[str, "Upstream"] = field(default_factory=dict)
 
+    @property
+    def arrived_at_s(self) -> list[float]:
+        """Times at which requests of any kind arrived, on `clock`."""
+        return [each.at_s for each in self.arrivals]
+
     async def answer(self, request: Request) -> Reply:
         """Answer an HTTP request."""
-        self.arrived_at_s.append(self.clock())
+        attempt = request.headers.get(_ATTEMPT_HEADER)
+        self.arrivals.append(Arrival(attempt_id=attempt, at_s=self.clock()))
         expected = request.headers.get("galenashift-expect-instance")
         if expected is not None and expected != self.name:
             return Reply(status=_MISDIRECTED, headers=self._headers(request))
-        if request.target.startswith("/galenashift/stage-free"):
+        if request.target.startswith(_FREE_PATH):
             for handle in json.loads(request.body)["handles"]:
                 self.results.pop(handle, None)
             return Reply(headers=self._headers(request))
