Reproduce requests to upstreams that want none in tests that fail

What callers see: requests that are lost with an upstream that had said in its answers that it was shutting down. Upstreams see requests in a time for which they asked for none. Cause: nothing reads `Server-Leaving`, or `Retry-After` of an upstream's 503.

--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -184,7 +184,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": 1,
-            "born": len(upstream.crashed_at_s),
+            "born": upstream.starts + len(upstream.crashed_at_s),
         }
         self.store.put(f"servers/{upstream.name}", record)
 
--- a/standins/_platform_upstream.py
+++ b/standins/_platform_upstream.py
@@ -81,8 +81,15 @@
     crashing_body: bytes | None = None
     #: Value of the header that states a limit; None for no header.
     stated_limit: str | None = None
+    #: Whether its answers say that it is leaving.
+    leaving: bool = False
+    #: ``Retry-After`` with which it refuses all requests, in seconds; None to accept
+    #: them.
+    pause: str | None = None
     #: Called at a crash; closes all connections of the upstream.
     on_crash: Callable[[], None] = lambda: None
+    #: Planned starts, in addition to the one after each crash.
+    starts: int = 0
     #: Times of the crashes, on `clock`.
     crashed_at_s: list[float] = field(default_factory=list)
     address: str = ""
@@ -101,26 +108,32 @@
         expected = request.headers.get("galenashift-expect-instance")
         if expected is not None and expected != self.name:
             return Reply(status=_MISDIRECTED, headers=self._headers(request))
+        if self.pause is not None:
+            return self._refuse(request, {"retry-after": self.pause})
         if request.target.startswith(_FREE_PATH):
             for handle in json.loads(request.body)["handles"]:
                 self.results.pop(handle, None)
             return Reply(headers=self._headers(request))
         if self.running >= 2 * self.slots:
-            return Reply(
-                status=_OVERLOADED, headers=self._headers(request) | _NOT_RUN_HEADERS
-            )
+            return self._refuse(request, {})
         self.running += 1
         try:
             return await self._run(request)
         finally:
             self.running -= 1
 
+    def _refuse(self, request: Request, headers: dict[str, str]) -> Reply:
+        headers = self._headers(request) | _NOT_RUN_HEADERS | headers
+        return Reply(status=_OVERLOADED, headers=headers)
+
     def _headers(self, request: Request) -> dict[str, str]:
         headers = {"galenashift-instance-load": f"{self.running},0,{self.slots}"}
         if _ATTEMPT_HEADER in request.headers:
             headers[_ATTEMPT_HEADER] = request.headers[_ATTEMPT_HEADER]
         if self.stated_limit is not None:
             headers["server-limit"] = self.stated_limit
+        if self.leaving:
+            headers["server-leaving"] = "1"
         return headers
 
     async def _run(self, request: Request) -> Reply:
