Send nothing more to upstreams that say they are shutting down

What callers saw: requests that were lost with an upstream whose answers had said `Server-Leaving: 1` before its registration did. Cause: nothing read the header; the same class as the stated limits, a signal of an upstream about itself that no decision takes as an input. Ruled out: closing its connections and leaving the rest to its registration, since a daemon may be cut off from the store; reports to other daemons, since the registration follows soon. Change: the header is decoded in `platform`, and noted as soon as the head of an answer arrives. The router and the scheduler of stages leave the upstream out, and the check right before the first byte covers retries, resumed streams and calls that free results. Jobs are refused at once if no upstream of their stage permits a call in time.

--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -61,7 +61,7 @@
     """No byte of the request was sent."""
 
     detail: str
-    #: Whether the upstream's rate limit was used up.
+    #: Whether the upstream has stated that it accepts no request now.
     limited: bool = False
 
 
@@ -183,7 +183,8 @@
                 return NotSent(detail="the upstream no longer accepts requests")
             if not self._limiter.take(upstream, request_id=request.request_id):
                 return NotSent(
-                    detail="the upstream's rate limit is used up", limited=True
+                    detail="the upstream states that it accepts no request now",
+                    limited=True,
                 )
             reader = _Reader(
                 connection=connection,
--- a/galenashift/gateway/_router.py
+++ b/galenashift/gateway/_router.py
@@ -41,7 +41,8 @@
     cost_s: float
     #: Number of upstreams that could have been selected.
     eligible: int
-    #: Number of upstreams that were left out because of their rate limits.
+    #: Number of upstreams that were left out because they state that they accept no
+    #: request now.
     limited: int
     #: Whether the upstream was selected by the prompt prefix.
     by_prefix: bool
@@ -125,19 +126,26 @@
     ) -> LimitWait | None:
         """Return how long all upstreams hold back, or None if one of them does not.
 
+        Upstreams that are shutting down do not count.
+
         :param candidates: Upstreams of the service that accept requests.
         :param excluded: Upstreams that were tried before.
         :param now_s: Boot-time clock, in seconds.
         """
-        fresh = _without(candidates, excluded)
-        registrations = [each.registration for each in fresh]
+        registrations = [
+            each.registration
+            for each in _without(candidates, excluded)
+            if not self.limiter.is_draining(each.registration)
+        ]
         waits_s = [self.limiter.wait_s(each, now_s=now_s) for each in registrations]
         if not waits_s or min(waits_s) <= 0:
             return None
         statuses = [self.limiter.status(each, now_s=now_s) for each in registrations]
         total_per_s = sum(each.per_s for each in statuses if each is not None)
         return LimitWait(
-            upstreams=len(fresh), here_s=min(waits_s), interval_s=1 / total_per_s
+            upstreams=len(registrations),
+            here_s=min(waits_s),
+            interval_s=1 / total_per_s,
         )
 
     def pick_service(
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -114,6 +114,9 @@
             self._workers.callable(service, now_s=now_s), queue, now_s=now_s
         )
         if job.first:
+            permit_wait_s = self._workers.wait_s(service, now_s=now_s)
+            if now_s + permit_wait_s > job.deadline_s:
+                return StageFailed(problem=StageProblem.NO_UPSTREAM)
             refusal = queue.refusal(job, workers=workers, now_s=now_s)
             if refusal is not None:
                 return StageFailed(
--- a/galenashift/gateway/_stage_workers.py
+++ b/galenashift/gateway/_stage_workers.py
@@ -26,13 +26,18 @@
         self._limiter = limiter
 
     def callable(self, service: ServiceName, *, now_s: float) -> list[KnownUpstream]:
-        """List the upstreams that accept calls and did not fail just before.
+        """List the upstreams that accept calls, now or later.
+
+        Those that failed just before or are shutting down are left out.
 
         :param now_s: Boot-time clock, in seconds.
         """
         known = self._view.available_upstreams(service, now_s=now_s)
         return [
-            each for each in known if not self._is_backed_off(each.registration, now_s)
+            each
+            for each in known
+            if not self._is_backed_off(each.registration, now_s)
+            and not self._limiter.is_draining(each.registration)
         ]
 
     def capacity(
@@ -44,13 +49,27 @@
         """
         call_s = queue.call_duration_s(queue.limits.batch)
         statuses = [
-            self._limiter.status(each.registration, now_s=now_s) for each in upstreams
+            self._limiter.status(each.registration, now_s=now_s)
+            for each in upstreams
+            if not self._limiter.is_draining(each.registration)
         ]
         return sum(
             1.0 if each is None else min(1.0, each.share_per_s * call_s)
             for each in statuses
         )
 
+    def wait_s(self, service: ServiceName, *, now_s: float) -> float:
+        """Return the time until an upstream permits a call, in seconds.
+
+        :param now_s: Boot-time clock, in seconds.
+        :returns: Infinity if all of them are shutting down, and 0 if there are none.
+        """
+        known = self._view.available_upstreams(service, now_s=now_s)
+        waits_s = [
+            self._limiter.wait_s(each.registration, now_s=now_s) for each in known
+        ]
+        return min(waits_s, default=0.0)
+
     def snapshot(
         self, service: ServiceName, limits: PieceLimits, *, now_s: float
     ) -> list[Worker]:
--- a/galenashift/gateway/_upstream_limits.py
+++ b/galenashift/gateway/_upstream_limits.py
@@ -1,21 +1,36 @@
-"""Rate limits that upstreams state in their answers."""
+"""What upstreams state in their answers on the requests that they accept."""
 
 from collections.abc import Callable
+from enum import Enum
 
-from galenashift.limits import LimitChange, LimitStatus, UpstreamRates
+from galenashift.limits import (
+    LimitChange,
+    LimitStatus,
+    StatedAvailability,
+    UpstreamRates,
+)
 from galenashift.model import (
     AnswerFields,
     RateLimit,
     RegisteredUpstream,
     RequestId,
-    UnreadableRateLimit,
+    UnreadableValue,
     UpstreamId,
 )
 from galenashift.telemetry import EventLog, Metrics
 
 
+class _Cause(Enum):
+    """Why an upstream accepts no request now."""
+
+    DRAINING = "draining"
+    RATE_LIMIT = "rate-limit"
+
+
 class UpstreamLimiter:
-    """Keeps this daemon's requests within the limits that upstreams state.
+    """Keeps this daemon's requests within what upstreams state.
+
+    They state rate limits, and that they are shutting down.
 
     :param clock: Boot-time clock.
     """
@@ -29,10 +44,11 @@
         clock: Callable[[], float],
     ) -> None:
         self._rates = rates
+        self._availability = StatedAvailability()
         self._events = events
         self._metrics = metrics
         self._clock = clock
-        self._unreadable_by_id: dict[UpstreamId, str] = {}
+        self._unreadable_by_id: dict[UpstreamId, dict[str, str]] = {}
         #: Called with the upstream after it has stated a change.
         self.on_change: Callable[[RegisteredUpstream], None] = lambda upstream: None
 
@@ -50,12 +66,13 @@
         :param ends_limit: Whether an answer that states no limit ends one.
         """
         now_s = self._clock()
+        self._record_draining(upstream, fields)
         change: LimitChange | None = None
         match fields.stated_limit:
             case RateLimit(per_s=per_s):
                 change = self._rates.record_limit(upstream, per_s, now_s=now_s)
-            case UnreadableRateLimit(text=text):
-                self._log_unreadable(upstream, text)
+            case UnreadableValue(text=text):
+                self._log_unreadable(upstream, "upstream-limit-unreadable", text)
             case None if ends_limit:
                 change = self._rates.record_no_limit(
                     upstream, sent_at_s=sent_at_s, now_s=now_s
@@ -75,11 +92,19 @@
             self._log_change(upstream, change, now_s=now_s)
 
     def wait_s(self, upstream: RegisteredUpstream, *, now_s: float) -> float:
-        """Return the time until a request may be sent, in seconds; 0 for now.
+        """Return the time until a request may be sent, in seconds.
 
         :param now_s: Boot-time clock, in seconds.
+        :returns: 0 for now, and infinity for an upstream that is shutting down.
         """
-        return self._rates.wait_s(upstream, now_s=now_s)
+        return max(
+            self._availability.wait_s(upstream),
+            self._rates.wait_s(upstream, now_s=now_s),
+        )
+
+    def is_draining(self, upstream: RegisteredUpstream) -> bool:
+        """Tell whether an upstream has said that it is shutting down."""
+        return self._availability.is_draining(upstream)
 
     def status(
         self, upstream: RegisteredUpstream, *, now_s: float
@@ -98,10 +123,13 @@
         :param request_id: The request in the log; None for calls of stages.
         """
         now_s = self._clock()
-        if self._rates.take(upstream, now_s=now_s):
+        if not self.is_draining(upstream) and self._rates.take(upstream, now_s=now_s):
             return True
+        cause = self._cause(upstream)
         status = self._rates.status(upstream, now_s=now_s)
-        self._metrics.count("limited_sends_total", service=upstream.service)
+        self._metrics.count(
+            "limited_sends_total", service=upstream.service, cause=cause.value
+        )
         self._events.info(
             "upstream-limited",
             request_id=request_id,
@@ -109,15 +137,20 @@
             limit_per_s=None if status is None else status.per_s,
             share_per_s=None if status is None else status.share_per_s,
             age_s=None if status is None else status.age_s,
-            wait_s=self._rates.wait_s(upstream, now_s=now_s),
+            cause=cause.value,
+            wait_s=self.wait_s(upstream, now_s=now_s),
         )
         return False
 
     def forget(self, upstream_id: UpstreamId) -> None:
         """Forget an upstream that is no longer registered."""
         self._rates.forget(upstream_id)
+        self._availability.forget(upstream_id)
         self._unreadable_by_id.pop(upstream_id, None)
 
+    def _cause(self, upstream: RegisteredUpstream) -> _Cause:
+        return _Cause.DRAINING if self.is_draining(upstream) else _Cause.RATE_LIMIT
+
     def _log_change(
         self, upstream: RegisteredUpstream, change: LimitChange, *, now_s: float
     ) -> None:
@@ -131,10 +164,20 @@
             previous_age_s=change.previous_age_s,
         )
 
-    def _log_unreadable(self, upstream: RegisteredUpstream, text: str) -> None:
-        if self._unreadable_by_id.get(upstream.upstream_id) == text:
+    def _record_draining(
+        self, upstream: RegisteredUpstream, fields: AnswerFields
+    ) -> None:
+        match fields.draining:
+            case UnreadableValue(text=text):
+                self._log_unreadable(upstream, "upstream-draining-unreadable", text)
+            case True if self._availability.record_draining(upstream):
+                self._events.info("upstream-draining", upstream=upstream.upstream_id)
+
+    def _log_unreadable(
+        self, upstream: RegisteredUpstream, event: str, text: str
+    ) -> None:
+        logged = self._unreadable_by_id.setdefault(upstream.upstream_id, {})
+        if logged.get(event) == text:
             return
-        self._unreadable_by_id[upstream.upstream_id] = text
-        self._events.warning(
-            "upstream-limit-unreadable", upstream=upstream.upstream_id, value=text
-        )
+        logged[event] = text
+        self._events.warning(event, upstream=upstream.upstream_id, value=text)
--- a/galenashift/limits/__init__.py
+++ b/galenashift/limits/__init__.py
@@ -14,6 +14,7 @@
 from ._permit_source import ColdPermitSource
 from ._permits import NEW_GATEKEEPER_WAIT_S, PERMIT_START_TIMEOUT_S, PermitLedger
 from ._pool_admission import PoolAdmission, Slot
+from ._stated_availability import StatedAvailability
 from ._upstream_rates import LimitChange, LimitStatus, UpstreamRates
 
 __all__ = [
@@ -32,6 +33,7 @@
     "PermitLedger",
     "PoolAdmission",
     "Slot",
+    "StatedAvailability",
     "Ticket",
     "TokenBucket",
     "UpstreamRates",
--- a/galenashift/model/__init__.py
+++ b/galenashift/model/__init__.py
@@ -23,7 +23,7 @@
     ServiceName,
     StageSpec,
     StatedLimit,
-    UnreadableRateLimit,
+    UnreadableValue,
     UpstreamLoad,
 )
 from ._ids import (
@@ -177,7 +177,7 @@
     "SuspectClaim",
     "SuspectId",
     "Token",
-    "UnreadableRateLimit",
+    "UnreadableValue",
     "Upstream",
     "UpstreamCalls",
     "UpstreamDirectory",
--- a/galenashift/platform/_headers.py
+++ b/galenashift/platform/_headers.py
@@ -11,7 +11,7 @@
     RateLimit,
     RequestFields,
     StatedLimit,
-    UnreadableRateLimit,
+    UnreadableValue,
     UpstreamId,
     UpstreamLoad,
 )
@@ -36,6 +36,7 @@
 _INPUTS = b"galenashift-inputs"
 _RANK = b"galenashift-request-priority"
 _RATE_LIMIT = b"server-limit"
+_DRAINING = b"server-leaving"
 
 #: Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -198,19 +199,37 @@
         cold_left_s=None if cold_ms is None else _decode_milliseconds(cold_ms),
         signed=find_header(headers, _SIGNATURE) is not None,
         stated_limit=_decode_rate_limit(headers),
+        draining=_decode_draining(headers),
     )
 
 
 def _decode_rate_limit(headers: Headers) -> StatedLimit:
-    values = [value for name, value in headers if name == _RATE_LIMIT]
-    if not values:
+    text = _join_values(headers, _RATE_LIMIT)
+    if text is None:
         return None
-    text = b",".join(values).decode("latin-1").strip()
     if _DECIMAL.fullmatch(text) is None:
-        return UnreadableRateLimit(text=text[:_MAX_SHOWN])
+        return UnreadableValue(text=text[:_MAX_SHOWN])
     return RateLimit(per_s=float(text))
 
 
+def _decode_draining(headers: Headers) -> bool | UnreadableValue:
+    match _join_values(headers, _DRAINING):
+        case None | "0":
+            return False
+        case "1":
+            return True
+        case text:
+            return UnreadableValue(text=text[:_MAX_SHOWN])
+
+
+def _join_values(headers: Headers, name: bytes) -> str | None:
+    """Return the values of all headers with a name, or None if there are none."""
+    values = [value for each, value in headers if each == name]
+    if not values:
+        return None
+    return b",".join(values).decode("latin-1").strip()
+
+
 def _decode_load(text: str | None) -> UpstreamLoad | None:
     if text is None:
         return None
