Send nothing to upstreams in the time for which they ask for none

What upstreams saw: an upstream that turned a request away with 503 and `Retry-After: 30` got up to 4 requests of each daemon in that time, where 2 are allowed. Cause: nothing read the header. Two refusals in a row kept an upstream out for up to 4 s, which hid it for short pauses. Ruled out: the time of an ejection, since a success of an earlier request ends it, and nothing checks it right before a send. The router, the scheduler of stages and the check before the first byte apply it. If all upstreams pause for longer than a request may wait, it is refused at once, with the earliest end as `Retry-After`, 30 s at most. Conclusion: the soak with such upstreams and the product's own interface remain.

--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -334,7 +334,7 @@
     async def _read_matching_head(self) -> tuple[AnswerHead, AnswerFields]:
         for _ in range(MAX_UNMATCHED_ANSWERS + 1):
             head = await self._connection.read_head()
-            fields = decode_answer(head.headers)
+            fields = decode_answer(head.headers, status=head.status)
             self._connection.idle_timeout_s = idle_timeout_s(head.headers)
             if fields.attempt_id == self._request.attempt_id:
                 return head, fields
--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -9,6 +9,9 @@
 
 #: ``Retry-After`` of a request that no upstream had capacity for, in seconds.
 NO_CAPACITY_RETRY_AFTER_S = 0.25
+#: Longest ``Retry-After`` of a request that upstreams hold back, in seconds. They may
+#: be replaced before the pause that they asked for ends.
+_MAX_HELD_BACK_RETRY_AFTER_S = 30.0
 #: ``Retry-After`` of a quarantined request, in seconds.
 QUARANTINE_RETRY_AFTER_S = 60.0
 
@@ -23,10 +26,11 @@
             reason = Reason.NO_UPSTREAM
         case StageProblem.FAILED | StageProblem.INPUT_GONE | StageProblem.UNREACHABLE:
             reason = Reason.OVERLOADED
+    wait_s = failed.retry_after_s or NO_CAPACITY_RETRY_AFTER_S
     return not_run(
         reason=reason,
         detail=detail,
-        retry_after_s=failed.retry_after_s or NO_CAPACITY_RETRY_AFTER_S,
+        retry_after_s=min(wait_s, _MAX_HELD_BACK_RETRY_AFTER_S),
     )
 
 
@@ -90,7 +94,7 @@
     """Return the failure of a request for which no upstream is eligible.
 
     :param verdict: Verdict on the earlier attempts.
-    :param limit_wait: How long the rate limits of all upstreams hold it back, if so.
+    :param limit_wait: How long all upstreams hold it back, if they do.
     """
     if verdict is not Verdict.NOT_RUN:
         return may_have_run(
@@ -108,12 +112,12 @@
 
 def _limited_failure(limit_wait: LimitWait, *, service: str) -> Failure:
     # A caller that comes back reaches another daemon, which may have a permit by then.
-    wait_s = min(limit_wait.here_s, limit_wait.interval_s)
+    wait_s = min(limit_wait.here_s, limit_wait.interval_s, _MAX_HELD_BACK_RETRY_AFTER_S)
     return not_run(
         reason=Reason.NO_UPSTREAM,
         detail=(
-            f"{limit_wait.upstreams} upstreams of {service} limit their requests;"
-            f" the next permit here is in {limit_wait.here_s:.2f} s"
+            f"{limit_wait.upstreams} upstreams of {service} limit their requests or"
+            f" pause; the next permit here is in {limit_wait.here_s:.2f} s"
         ),
         retry_after_s=max(NO_CAPACITY_RETRY_AFTER_S, wait_s),
     )
--- a/galenashift/gateway/_router.py
+++ b/galenashift/gateway/_router.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
+from math import inf
 from random import Random
 
 from galenashift.model import (
@@ -50,13 +51,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class LimitWait:
-    """How long the rate limits of all upstreams hold back a request."""
+    """How long all upstreams hold back a request, by what they state."""
 
     #: Number of upstreams.
     upstreams: int
     #: Time until this daemon may send to one of them, in seconds.
     here_s: float
-    #: Mean time between two requests that they accept from all daemons, in seconds.
+    #: Mean time between two requests that they accept from all daemons, in seconds;
+    #: infinity if none of them states a rate limit.
     interval_s: float
 
 
@@ -145,7 +147,7 @@
         return LimitWait(
             upstreams=len(registrations),
             here_s=min(waits_s),
-            interval_s=1 / total_per_s,
+            interval_s=1 / total_per_s if total_per_s else inf,
         )
 
     def pick_service(
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -1,6 +1,7 @@
 """Executes stage jobs; the batching daemon calls a service for all daemons."""
 
 from collections.abc import Callable, Sequence
+from math import isinf
 
 import trio
 
@@ -116,7 +117,10 @@
         if job.first:
             permit_wait_s = self._workers.wait_s(service, now_s=now_s)
             if now_s + permit_wait_s > job.deadline_s:
-                return StageFailed(problem=StageProblem.NO_UPSTREAM)
+                return StageFailed(
+                    problem=StageProblem.NO_UPSTREAM,
+                    retry_after_s=None if isinf(permit_wait_s) else permit_wait_s,
+                )
             refusal = queue.refusal(job, workers=workers, now_s=now_s)
             if refusal is not None:
                 return StageFailed(
--- a/galenashift/gateway/_stage_workers.py
+++ b/galenashift/gateway/_stage_workers.py
@@ -43,7 +43,7 @@
     def capacity(
         self, upstreams: Sequence[KnownUpstream], queue: StageQueue, *, now_s: float
     ) -> float:
-        """Return the number of upstreams, less the pauses that rate limits impose.
+        """Return the number of upstreams, less the pauses that they impose.
 
         :param now_s: Boot-time clock, in seconds.
         """
@@ -51,7 +51,7 @@
         statuses = [
             self._limiter.status(each.registration, now_s=now_s)
             for each in upstreams
-            if not self._limiter.is_draining(each.registration)
+            if not self._limiter.wants_none(each.registration, now_s=now_s)
         ]
         return sum(
             1.0 if each is None else min(1.0, each.share_per_s * call_s)
--- a/galenashift/gateway/_upstream_limits.py
+++ b/galenashift/gateway/_upstream_limits.py
@@ -11,6 +11,7 @@
 )
 from galenashift.model import (
     AnswerFields,
+    Pause,
     RateLimit,
     RegisteredUpstream,
     RequestId,
@@ -24,13 +25,14 @@
     """Why an upstream accepts no request now."""
 
     DRAINING = "draining"
+    PAUSE = "pause"
     RATE_LIMIT = "rate-limit"
 
 
 class UpstreamLimiter:
     """Keeps this daemon's requests within what upstreams state.
 
-    They state rate limits, and that they are shutting down.
+    They state rate limits and pauses, and that they are shutting down.
 
     :param clock: Boot-time clock.
     """
@@ -67,6 +69,7 @@
         """
         now_s = self._clock()
         self._record_draining(upstream, fields)
+        self._record_pause(upstream, fields, now_s=now_s)
         change: LimitChange | None = None
         match fields.stated_limit:
             case RateLimit(per_s=per_s):
@@ -98,7 +101,7 @@
         :returns: 0 for now, and infinity for an upstream that is shutting down.
         """
         return max(
-            self._availability.wait_s(upstream),
+            self._availability.wait_s(upstream, now_s=now_s),
             self._rates.wait_s(upstream, now_s=now_s),
         )
 
@@ -106,6 +109,13 @@
         """Tell whether an upstream has said that it is shutting down."""
         return self._availability.is_draining(upstream)
 
+    def wants_none(self, upstream: RegisteredUpstream, *, now_s: float) -> bool:
+        """Tell whether an upstream wants no requests at all, for now or for good.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        return self._availability.wait_s(upstream, now_s=now_s) > 0
+
     def status(
         self, upstream: RegisteredUpstream, *, now_s: float
     ) -> LimitStatus | None:
@@ -123,9 +133,10 @@
         :param request_id: The request in the log; None for calls of stages.
         """
         now_s = self._clock()
-        if not self.is_draining(upstream) and self._rates.take(upstream, now_s=now_s):
+        wants_none = self.wants_none(upstream, now_s=now_s)
+        if not wants_none and self._rates.take(upstream, now_s=now_s):
             return True
-        cause = self._cause(upstream)
+        cause = self._cause(upstream, now_s=now_s)
         status = self._rates.status(upstream, now_s=now_s)
         self._metrics.count(
             "limited_sends_total", service=upstream.service, cause=cause.value
@@ -148,8 +159,12 @@
         self._availability.forget(upstream_id)
         self._unreadable_by_id.pop(upstream_id, None)
 
-    def _cause(self, upstream: RegisteredUpstream) -> _Cause:
-        return _Cause.DRAINING if self.is_draining(upstream) else _Cause.RATE_LIMIT
+    def _cause(self, upstream: RegisteredUpstream, *, now_s: float) -> _Cause:
+        if self.is_draining(upstream):
+            return _Cause.DRAINING
+        if self.wants_none(upstream, now_s=now_s):
+            return _Cause.PAUSE
+        return _Cause.RATE_LIMIT
 
     def _log_change(
         self, upstream: RegisteredUpstream, change: LimitChange, *, now_s: float
@@ -173,6 +188,22 @@
             case True if self._availability.record_draining(upstream):
                 self._events.info("upstream-draining", upstream=upstream.upstream_id)
 
+    def _record_pause(
+        self, upstream: RegisteredUpstream, fields: AnswerFields, *, now_s: float
+    ) -> None:
+        match fields.stated_pause:
+            case UnreadableValue(text=text):
+                self._log_unreadable(upstream, "upstream-pause-unreadable", text)
+            case Pause(duration_s=duration_s):
+                previous_s = self._availability.wait_s(upstream, now_s=now_s)
+                if self._availability.record_pause(upstream, duration_s, now_s=now_s):
+                    self._events.info(
+                        "upstream-paused",
+                        upstream=upstream.upstream_id,
+                        pause_s=duration_s,
+                        previous_wait_s=previous_s,
+                    )
+
     def _log_unreadable(
         self, upstream: RegisteredUpstream, event: str, text: str
     ) -> None:
--- a/galenashift/gateway/tests/factories.py
+++ b/galenashift/gateway/tests/factories.py
@@ -13,6 +13,7 @@
     FailureDomainName,
     InstanceState,
     OrganisationId,
+    Pause,
     PieceLimits,
     RateLimit,
     RegisteredUpstream,
@@ -98,6 +99,13 @@
     return replace(_PLAIN_ANSWER, stated_limit=RateLimit(per_s=per_s))
 
 
+def pausing_answer(duration_s: float) -> AnswerFields:
+    """Return the fields of a refusal that asks for a pause."""
+    return replace(
+        _PLAIN_ANSWER, not_executed=True, stated_pause=Pause(duration_s=duration_s)
+    )
+
+
 def draining_answer() -> AnswerFields:
     """Return the fields of an answer of an upstream that is shutting down."""
     return replace(_PLAIN_ANSWER, draining=True)
--- a/galenashift/model/_gateway.py
+++ b/galenashift/model/_gateway.py
@@ -247,6 +247,14 @@
     per_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Pause:
+    """The time for which an upstream wants no requests from this daemon."""
+
+    #: Seconds from the arrival of the answer.
+    duration_s: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class UnreadableValue:
     """The value of a header that cannot be decoded."""
@@ -257,6 +265,8 @@
 
 #: What an answer states about the rate of requests; None if it states no limit.
 StatedLimit = RateLimit | UnreadableValue | None
+#: What a refusal states about later requests; None if it asks for no pause.
+StatedPause = Pause | UnreadableValue | None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -273,5 +283,6 @@
     #: Whether the answer has a signature of the upstream.
     signed: bool
     stated_limit: StatedLimit = None
+    stated_pause: StatedPause = None
     #: Whether the upstream says that it is shutting down.
     draining: bool | UnreadableValue = False
--- a/galenashift/platform/_headers.py
+++ b/galenashift/platform/_headers.py
@@ -7,10 +7,12 @@
     AnswerFields,
     Handle,
     OrganisationId,
+    Pause,
     PromptPart,
     RateLimit,
     RequestFields,
     StatedLimit,
+    StatedPause,
     UnreadableValue,
     UpstreamId,
     UpstreamLoad,
@@ -37,6 +39,7 @@
 _RANK = b"galenashift-request-priority"
 _RATE_LIMIT = b"server-limit"
 _DRAINING = b"server-leaving"
+_PAUSE = b"retry-after"
 
 #: Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -73,6 +76,7 @@
         b"kv-fetch",
     }
 )
+_UNAVAILABLE = 503
 _MAX_RANK = 9
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 #: Characters of a malformed value that are logged.
@@ -186,10 +190,11 @@
     return _EXPECTED_UPSTREAM, upstream_id.encode()
 
 
-def decode_answer(headers: Headers) -> AnswerFields:
+def decode_answer(headers: Headers, *, status: int) -> AnswerFields:
     """Decode the metadata in the headers of an upstream's answer.
 
     :param headers: Headers with names in lower case.
+    :param status: Status of the answer.
     """
     cold_ms = find_header(headers, _COLD_MS)
     return AnswerFields(
@@ -199,17 +204,34 @@
         cold_left_s=None if cold_ms is None else _decode_milliseconds(cold_ms),
         signed=find_header(headers, _SIGNATURE) is not None,
         stated_limit=_decode_rate_limit(headers),
+        stated_pause=_decode_pause(headers) if status == _UNAVAILABLE else None,
         draining=_decode_draining(headers),
     )
 
 
 def _decode_rate_limit(headers: Headers) -> StatedLimit:
-    text = _join_values(headers, _RATE_LIMIT)
+    match _decode_decimal(headers, _RATE_LIMIT):
+        case float(per_s):
+            return RateLimit(per_s=per_s)
+        case other:
+            return other
+
+
+def _decode_pause(headers: Headers) -> StatedPause:
+    match _decode_decimal(headers, _PAUSE):
+        case float(duration_s):
+            return Pause(duration_s=duration_s)
+        case other:
+            return other
+
+
+def _decode_decimal(headers: Headers, name: bytes) -> float | UnreadableValue | None:
+    text = _join_values(headers, name)
     if text is None:
         return None
     if _DECIMAL.fullmatch(text) is None:
         return UnreadableValue(text=text[:_MAX_SHOWN])
-    return RateLimit(per_s=float(text))
+    return float(text)
 
 
 def _decode_draining(headers: Headers) -> bool | UnreadableValue:
