Count only refused requests in the test of pauses

Cause: found in the read-through. The requests with which a test waits for its daemons were counted as those of one further daemon in a pause, though they come before it. Where the start takes longer than half a second, three of them would fail the test. Change: only requests that were sent during the pause count. Conclusion: a fault of the test.

--- a/soak/tests/test_leaving_and_paused_upstreams.py
+++ b/soak/tests/test_leaving_and_paused_upstreams.py
@@ -37,13 +37,15 @@
 def most_during_pause(harness, upstream, *, pause_s):
     """Return the most arrivals from one daemon during a pause that it was told of.
 
-    Each arrival was refused with a pause.
+    Each request of the test that arrived was refused with a pause. Those of the start
+    of the deployment came before.
     """
     daemon_by_attempt = {each.attempt_id: each.daemon for each in harness.sent}
     times_by_daemon = {}
     for each in upstream.arrivals:
-        daemon = daemon_by_attempt.get(each.attempt_id)
-        times_by_daemon.setdefault(daemon, []).append(each.at_s)
+        if each.attempt_id in daemon_by_attempt:
+            daemon = daemon_by_attempt[each.attempt_id]
+            times_by_daemon.setdefault(daemon, []).append(each.at_s)
     return max(
         sum(at_s + PAUSE_CONTACT_S <= each < at_s + pause_s for each in times_s)
         for times_s in times_by_daemon.values()
