Tell all daemons of what a suspect of several crashes was cleared

Cause: reports on crashes name all that was in flight and stay in the store for 10 minutes. A completed request cleared its parts in memory; the store learned of it only if it cleared a part of two crashes at once. Parts that complete between crashes are cleared of one at a time, so a daemon that started read the accusation without the defence. Ruled out: rewriting crash reports without what was cleared (each reporter would have to see a request with the part complete); a report for each clearance (one for each part in flight at each crash); forgetting reports at a start (a part that crashes upstreams would crash more at each restart). Change: a clearance names the crashes to which it applies. A suspect of two crashes or more, also if cleared one by one, is reported, each time that two more have come; daemons that learn the same report in turn, each under a key of its own. Clearances and crash reports are sets, so the order in which they are read makes no difference. A clearance gets a new lease, which lasts as long as those of the reports before it. Conclusion: a daemon that starts decides as those that run.

--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -9,6 +9,7 @@
 
 from galenashift.membership import rank_daemons
 from galenashift.model import (
+    Clearance,
     CrashId,
     CrashSuspects,
     DaemonId,
@@ -37,6 +38,8 @@
 _PROBE_DELAY_S = 0.05
 #: Suspected crashes that wait to be examined; further ones are logged and dropped.
 _MAX_PENDING_SUSPICIONS = 100
+#: Clearances that wait for their turn to be reported; further ones are dropped.
+_MAX_PENDING_CLEARANCES = 1_000
 #: Time between two checks of unconfirmed suspicions, in seconds.
 _CONFIRMATION_INTERVAL_S = 0.25
 #: Time between two checks for crashes to forget, in seconds.
@@ -113,8 +116,8 @@
             Suspicion
         ](_MAX_PENDING_SUSPICIONS)
         self._cleared_sender, self._cleared_receiver = trio.open_memory_channel[
-            SuspectId
-        ](_MAX_PENDING_SUSPICIONS)
+            Clearance
+        ](_MAX_PENDING_CLEARANCES)
 
     @property
     def has_crashes(self) -> bool:
@@ -196,11 +199,12 @@
 
         :param sent_at_s: Boot-time clock at which it was sent there, in seconds.
         """
-        for suspect in self._evidence.record_completion(suspects, sent_at_s=sent_at_s):
+        cleared = self._evidence.record_completion(suspects, sent_at_s=sent_at_s)
+        for clearance in cleared:
             try:
-                self._cleared_sender.send_nowait(suspect)
+                self._cleared_sender.send_nowait(clearance)
             except trio.WouldBlock:
-                self._events.warning("cleared-not-reported", suspect=suspect)
+                self._events.warning("cleared-not-reported", suspect=clearance.suspect)
 
     async def run(self) -> None:
         """Examine suspected crashes and write reports until cancelled."""
@@ -276,18 +280,23 @@
         self._reporter.enqueue(key=crash_key(report), value=encode_crash(report))
 
     async def _report_cleared(self, nursery: trio.Nursery) -> None:
-        async for suspect in self._cleared_receiver:
-            nursery.start_soon(self._report_cleared_in_turn, suspect)
+        async for clearance in self._cleared_receiver:
+            nursery.start_soon(self._report_cleared_in_turn, clearance)
 
-    async def _report_cleared_in_turn(self, suspect: SuspectId) -> None:
-        since_s = self._clock()
+    async def _report_cleared_in_turn(self, clearance: Clearance) -> None:
+        suspect = clearance.suspect
         turn = report_turn(
             key=suspect, daemon_id=self._daemon_id, daemons=self._view.peers_by_id
         )
         await trio.sleep(_TURN_INTERVAL_S * turn)
-        if self._evidence.was_reported_cleared(suspect, since_s=since_s):
+        if self._evidence.is_stored(clearance):
             return
-        self._reporter.enqueue(key=cleared_key(suspect), value=encode_cleared(suspect))
+        # The lease of a new record lasts as long as those of the reports it refutes.
+        self._reporter.enqueue(
+            key=cleared_key(suspect, reporter=self._daemon_id),
+            value=encode_cleared(clearance),
+            new_lease=True,
+        )
 
 
 async def _probe(upstream: RegisteredUpstream) -> _Probe:
--- a/galenashift/gateway/_record_writer.py
+++ b/galenashift/gateway/_record_writer.py
@@ -77,8 +77,14 @@
         self._value_by_key: dict[str, bytes] = {}
         self._has_pending = trio.Event()
 
-    def enqueue(self, *, key: str, value: bytes) -> None:
-        """Queue a record; it replaces one that waits under the same key."""
+    def enqueue(self, *, key: str, value: bytes, new_lease: bool = False) -> None:
+        """Queue a record; it replaces one that waits under the same key.
+
+        :param new_lease: Whether the record must last as long as all that other
+            daemons have written before.
+        """
+        if new_lease:
+            self._lease = None
         if key not in self._value_by_key and len(self._value_by_key) >= _MAX_PENDING:
             self._events.warning("record-dropped", key=key)
             return
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -179,7 +179,7 @@
         for domain in list(self.evacuated):
             if EVACUATION_PREFIX + domain not in keys:
                 self._end_evacuation(domain)
-        # A suspect is cleared of the crashes that were reported before.
+        # A record of an operator clears a suspect of the crashes reported before it.
         for item in sorted(snapshot.items, key=lambda item: item.revision):
             self._apply_item(item, now_s)
 
@@ -279,9 +279,14 @@
         )
 
     def _put_cleared(self, item: Item, now_s: float) -> None:
-        suspect = decode_cleared(key=item.key, value=item.value)
-        self._report("suspect-cleared", {"suspect": suspect})
-        self.crash_evidence.record_cleared(suspect, now_s=now_s)
+        clearance = decode_cleared(key=item.key, value=item.value)
+        crash_ids = clearance.crash_ids
+        fields = {
+            "suspect": clearance.suspect,
+            "crashes": "all" if crash_ids is None else ",".join(crash_ids),
+        }
+        self._report("suspect-cleared", fields)
+        self.crash_evidence.record_clearance(clearance, now_s=now_s)
 
     def _put_limit(self, item: Item) -> None:
         report = decode_limit(key=item.key, value=item.value)
--- a/galenashift/gateway/tests/test_crashes.py
+++ b/galenashift/gateway/tests/test_crashes.py
@@ -195,6 +195,50 @@
     trio.run(run)
 
 
+def test_daemon_that_starts_does_not_refuse_a_part_that_completed_between_crashes():
+    # Guards against daemons that refuse a sound part after a restart, in place of the
+    # one that crashes upstreams: the sound one was cleared at running daemons only.
+    async def run():
+        view = new_view(*UPSTREAMS)
+        store = SharedStore(view)
+        guard = new_guard(store, view)
+        port = await free_port()
+        for name in UPSTREAMS:
+            # Here the deeper part is the sound one.
+            await run_guard(guard, registration_at(port, name=name))
+            guard.complete({"part:bad": 1}, sent_at_s=trio.current_time())
+            await run_guard(guard)
+        assert quarantined(view) == ["part:sys"]
+        started = PlatformView(report=lambda name, fields: None)
+        snapshot = Snapshot(
+            items=tuple(store.items_by_key.values()), revision=StoreRevision(9)
+        )
+        started.apply_snapshot(snapshot, now_s=trio.current_time())
+        assert quarantined(started) == ["part:sys"]
+
+    trio.run(run)
+
+
+def test_operator_lifts_a_quarantine_by_a_record_in_the_store():
+    # The operations page promises it; such a record names no crashes.
+    view = new_view()
+    for number in range(3):
+        crash = Item(
+            key=f"crashes/c{number}/d1",
+            value=b'{"not_begun": {"part:a": 0}, "begun": {}}',
+            revision=StoreRevision(number),
+        )
+        view.apply(crash, now_s=1.0)
+    view.crash_evidence.decide(now_s=1.0)
+    assert len(view.crash_evidence.quarantines) == 1
+    record = Item(
+        key="cleared/any", value=b'{"suspect": "part:a"}', revision=StoreRevision(8)
+    )
+    view.apply(record, now_s=2.0)
+    view.crash_evidence.decide(now_s=2.0)
+    assert not view.crash_evidence.quarantines
+
+
 def test_upstream_that_accepts_a_connection_has_not_crashed():
     # If upstreams that reset connections counted as crashed, all requests would be
     # quarantined while answers are lost in the network.
@@ -317,4 +361,7 @@
     for value in (b"{}", b"[]", b'{"not_begun": {"a": -1}, "begun": {}}'):
         item = Item(key="crashes/c/d", value=value, revision=StoreRevision(1))
         view.apply(item, now_s=0.0)
+    for value in (b'{"suspect": "a", "crashes": 7}', b'{"crashes": []}', b"[]"):
+        item = Item(key="cleared/c/d", value=value, revision=StoreRevision(1))
+        view.apply(item, now_s=0.0)
     assert not view.crash_evidence.has_crashes
--- a/galenashift/model/__init__.py
+++ b/galenashift/model/__init__.py
@@ -1,7 +1,7 @@
 """Shared types: identifiers, verdicts, failures, messages, package interfaces."""
 
 from ._clock import boot_time_s, wall_time_s
-from ._crash import REQUEST_DEPTH, CrashSuspects, DepthBySuspect
+from ._crash import REQUEST_DEPTH, Clearance, CrashSuspects, DepthBySuspect
 from ._failure import Failure, Reason, may_have_run, not_run
 from ._gateway import (
     DEFAULT_RANK,
@@ -110,6 +110,7 @@
     "Authority",
     "CallerLimits",
     "Changes",
+    "Clearance",
     "ConfigVersion",
     "CrashGuard",
     "CrashId",
--- a/galenashift/model/_crash.py
+++ b/galenashift/model/_crash.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ._ids import SuspectId
+from ._ids import CrashId, SuspectId
 
 #: Depth of the digest of a whole request.
 REQUEST_DEPTH = 1_000_000
@@ -33,3 +33,12 @@
             not_begun={**self.not_begun, **other.not_begun},
             begun={**self.begun, **other.begun},
         )
+
+
+@dataclass(frozen=True, kw_only=True)
+class Clearance:
+    """A suspect with which a request completed after some crashes."""
+
+    suspect: SuspectId
+    #: Crashes that it did not cause; None for all that are known to the reader.
+    crash_ids: tuple[CrashId, ...] | None
--- a/galenashift/platform/_crash_records.py
+++ b/galenashift/platform/_crash_records.py
@@ -7,6 +7,7 @@
 
 from galenashift.model import (
     REQUEST_DEPTH,
+    Clearance,
     CrashId,
     CrashSuspects,
     DaemonId,
@@ -21,6 +22,8 @@
 CLEARED_PREFIX = "cleared/"
 #: Most suspects that a report may name.
 _MAX_SUSPECTS = 1_000
+#: Most crashes that the record of a cleared suspect may name.
+_MAX_CLEARED_CRASHES = 1_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -93,26 +96,41 @@
     }
 
 
-def cleared_key(suspect: SuspectId) -> str:
-    """Return the key under which a suspect is stored as cleared."""
-    return CLEARED_PREFIX + _digest(suspect)
+def cleared_key(suspect: SuspectId, *, reporter: DaemonId) -> str:
+    """Return the key under which a daemon stores that a suspect was cleared."""
+    return f"{CLEARED_PREFIX}{_digest(suspect)}/{reporter}"
 
 
-def encode_cleared(suspect: SuspectId) -> bytes:
+def encode_cleared(clearance: Clearance) -> bytes:
     """Encode that a suspect was cleared."""
-    return json.dumps({"suspect": suspect}).encode()
+    record = {"suspect": clearance.suspect, "crashes": clearance.crash_ids}
+    return json.dumps(record).encode()
 
 
-def decode_cleared(*, key: str, value: bytes) -> SuspectId:
+def decode_cleared(*, key: str, value: bytes) -> Clearance:
     """Decode that a suspect was cleared.
 
+    A record of an operator names no crashes.
+
     :raises RecordError: If the value is malformed.
     """
     try:
-        return SuspectId(to_text(decode_json(value)["suspect"]))
+        data = decode_json(value)
+        return Clearance(
+            suspect=SuspectId(to_text(data["suspect"])),
+            crash_ids=_parse_crash_ids(data.get("crashes")),
+        )
     except DECODING_ERRORS as error:
         raise RecordError(f"record {key} is malformed: {error!r:.300}") from error
 
 
+def _parse_crash_ids(data: object) -> tuple[CrashId, ...] | None:
+    if data is None:
+        return None
+    if not isinstance(data, list) or len(data) > _MAX_CLEARED_CRASHES:
+        raise ValueError(f"crashes {data!r:.100} are no short list")
+    return tuple(CrashId(to_text(each)) for each in data)
+
+
 def _digest(text: str) -> str:
     return blake2b(text.encode(), digest_size=12).hexdigest()
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -5,12 +5,19 @@
 
 from collections import OrderedDict
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import inf
 
-from galenashift.model import CrashId, CrashSuspects, DepthBySuspect, SuspectId
+from galenashift.model import (
+    Clearance,
+    CrashId,
+    CrashSuspects,
+    DepthBySuspect,
+    SuspectId,
+)
 
 from ._crash_causes import CRASHES_OF_CAUSE, find_causes
+from ._known_crash import KnownCrash
 
 #: Time for which a crash is remembered after it, and after the last request with its
 #: cause, in seconds.
@@ -25,7 +32,8 @@
 _TRIAL_DELAY_OF_PROVEN_S = 2.0
 #: Time for which a completed request counts in favour of its suspects, in seconds.
 _PROVEN_S = 30.0
-#: Crashes of a suspect from which other daemons are told that it was cleared.
+#: Crashes from which a clearance of a suspect is reported to other daemons. With fewer,
+#: a daemon that knows only the reports on crashes does not quarantine the suspect.
 _CRASHES_TO_REPORT_CLEARED = CRASHES_OF_CAUSE - 1
 #: Time within which a report is expected to be stored, in seconds.
 _STORE_WAIT_S = 5.0
@@ -35,36 +43,6 @@
 _MAX_COMPLETED = 4_096
 
 
-@dataclass(kw_only=True, eq=False)
-class _Crash:
-    """A crash of one upstream, as far as it is known here."""
-
-    recorded_at_s: float
-    expires_at_s: float
-    #: Time until which the store holds a report of the crash.
-    stored_until_s: float = 0.0
-    #: Suspects in requests without a whole event, and in others; without those that
-    #: were cleared since.
-    not_begun: dict[SuspectId, int] = field(default_factory=dict)
-    begun: dict[SuspectId, int] = field(default_factory=dict)
-
-    @property
-    def suspects(self) -> dict[SuspectId, int]:
-        """Suspects that may be the cause.
-
-        A request whose answer had begun is one only where there are no others: crashes
-        come when an upstream begins to execute their cause.
-        """
-        return self.not_begun or self.begun
-
-    def discard(self, suspect: SuspectId) -> bool:
-        """Clear a suspect, and tell whether it was one."""
-        was_suspect = suspect in self.suspects
-        self.not_begun.pop(suspect, None)
-        self.begun.pop(suspect, None)
-        return was_suspect
-
-
 class _LatestTimes:
     """The latest time noted for each of the most recent suspects."""
 
@@ -115,11 +93,10 @@
     """
 
     def __init__(self) -> None:
-        self._crash_by_id: OrderedDict[CrashId, _Crash] = OrderedDict()
+        self._crash_by_id: OrderedDict[CrashId, KnownCrash] = OrderedDict()
         self._quarantine_by_suspect: dict[SuspectId, Quarantine] = {}
         #: When the last request with a suspect was sent that completed.
         self._completed_sent_at_s = _LatestTimes()
-        self._reported_cleared_at_s = _LatestTimes()
         self._tried_at_s: dict[SuspectId, float] = {}
         #: Whether `decide` has taken all evidence into account.
         self._is_decided = True
@@ -141,12 +118,7 @@
 
         :param crash_id: The same for all reports on one crash.
         """
-        crash = self._crash_by_id.get(crash_id)
-        if crash is None:
-            crash = _Crash(recorded_at_s=now_s, expires_at_s=now_s + CRASH_LIFETIME_S)
-            self._crash_by_id[crash_id] = crash
-            if len(self._crash_by_id) > _MAX_CRASHES:
-                self._crash_by_id.popitem(last=False)
+        crash = self._find_or_add(crash_id, now_s=now_s)
         self._merge(crash, crash.not_begun, suspects.not_begun)
         self._merge(crash, crash.begun, suspects.begun)
         self._is_decided = False
@@ -159,29 +131,48 @@
 
     def record_completion(
         self, suspects: Collection[SuspectId], *, sent_at_s: float
-    ) -> tuple[SuspectId, ...]:
+    ) -> tuple[Clearance, ...]:
         """Clear the suspects of a request that was answered completely.
 
         :param sent_at_s: Time at which it was sent to the upstream that answered it.
-        :returns: The suspects to report as cleared to other daemons.
+        :returns: What to report to other daemons, once.
         """
         to_report = []
         for suspect in suspects:
             self._completed_sent_at_s.note(suspect, sent_at_s)
-            count = self._clear(suspect, before_s=sent_at_s)
-            if count >= _CRASHES_TO_REPORT_CLEARED:
-                to_report.append(suspect)
+            self._clear(suspect, before_s=sent_at_s)
+            clearance = self._take_clearance(suspect)
+            if clearance is not None:
+                to_report.append(clearance)
         return tuple(to_report)
 
-    def record_cleared(self, suspect: SuspectId, *, now_s: float) -> None:
-        """Clear a suspect of all known crashes, as another daemon reports."""
-        self._reported_cleared_at_s.note(suspect, now_s)
-        self._completed_sent_at_s.note(suspect, now_s)
-        self._clear(suspect, before_s=now_s)
+    def record_clearance(self, clearance: Clearance, *, now_s: float) -> None:
+        """Clear a suspect of crashes, as another daemon reports.
+
+        Crashes that are not known yet are remembered, so that the order of the reports
+        makes no difference.
+        """
+        suspect = clearance.suspect
+        if clearance.crash_ids is None:
+            crash_ids = tuple(self._crash_by_id)
+        else:
+            crash_ids = clearance.crash_ids
+        for crash_id in crash_ids:
+            is_known = crash_id in self._crash_by_id
+            if not is_known and len(self._crash_by_id) >= _MAX_CRASHES:
+                continue
+            crash = self._find_or_add(crash_id, now_s=now_s)
+            crash.clear(suspect)
+            crash.stored_clearances.add(suspect)
+        self._is_decided = False
 
-    def was_reported_cleared(self, suspect: SuspectId, *, since_s: float) -> bool:
-        """Tell whether a daemon has reported a suspect as cleared since a time."""
-        return self._reported_cleared_at_s.of(suspect) >= since_s
+    def is_stored(self, clearance: Clearance) -> bool:
+        """Tell whether daemons have stored that a suspect was cleared of crashes."""
+        return all(
+            clearance.suspect in self._crash_by_id[crash_id].stored_clearances
+            for crash_id in clearance.crash_ids or ()
+            if crash_id in self._crash_by_id
+        )
 
     def decide(self, *, now_s: float) -> QuarantineChanges:
         """Decide what is quarantined, if there is new evidence.
@@ -245,7 +236,7 @@
         if quarantine.crashes >= _MAX_TRIED_CRASHES:
             return False
         excess = max(0, quarantine.crashes - CRASHES_OF_CAUSE)
-        has_completed = self._completed_sent_at_s.of(quarantine.suspect) > -inf
+        has_completed = self._has_completed(quarantine.suspect)
         first_s = _TRIAL_DELAY_OF_PROVEN_S if has_completed else _TRIAL_DELAY_S
         delay_s = first_s * 2**excess
         last_s = max(
@@ -283,23 +274,57 @@
             del self._crash_by_id[crash_id]
             self._is_decided = False
 
+    def _find_or_add(self, crash_id: CrashId, *, now_s: float) -> KnownCrash:
+        crash = self._crash_by_id.get(crash_id)
+        if crash is None:
+            crash = KnownCrash(
+                recorded_at_s=now_s, expires_at_s=now_s + CRASH_LIFETIME_S
+            )
+            self._crash_by_id[crash_id] = crash
+            if len(self._crash_by_id) > _MAX_CRASHES:
+                self._crash_by_id.popitem(last=False)
+        return crash
+
     def _merge(
-        self, crash: _Crash, known: dict[SuspectId, int], reported: DepthBySuspect
+        self, crash: KnownCrash, known: dict[SuspectId, int], reported: DepthBySuspect
     ) -> None:
         for suspect, depth in reported.items():
-            if self._completed_sent_at_s.of(suspect) < crash.recorded_at_s:
+            if self._completed_sent_at_s.of(suspect) >= crash.recorded_at_s:
+                crash.clear(suspect)
+            elif suspect not in crash.cleared:
                 known[suspect] = depth
 
-    def _clear(self, suspect: SuspectId, *, before_s: float) -> int:
-        """Clear a suspect of the crashes before a time, and return their number."""
-        count = 0
+    def _clear(self, suspect: SuspectId, *, before_s: float) -> None:
+        """Clear a suspect of the crashes before a time."""
         for crash in self._crash_by_id.values():
-            if crash.recorded_at_s > before_s:
-                continue
-            count += crash.discard(suspect)
-        if count:
-            self._is_decided = False
-        return count
+            if crash.recorded_at_s <= before_s and crash.names(suspect):
+                crash.clear(suspect)
+                self._is_decided = False
+
+    def _take_clearance(self, suspect: SuspectId) -> Clearance | None:
+        """Return what other daemons do not know of a suspect, if it matters to them.
+
+        :returns: None if there is nothing to report, or it was returned before.
+        """
+        cleared = {
+            crash_id: crash
+            for crash_id, crash in self._crash_by_id.items()
+            if suspect in crash.cleared
+        }
+        unreported = [
+            each for each in cleared.values() if not each.is_clearance_reported(suspect)
+        ]
+        if len(unreported) < _CRASHES_TO_REPORT_CLEARED:
+            return None
+        for crash in unreported:
+            crash.queued_clearances.add(suspect)
+        return Clearance(suspect=suspect, crash_ids=tuple(cleared))
+
+    def _has_completed(self, suspect: SuspectId) -> bool:
+        """Tell whether a request with a suspect has completed at any daemon."""
+        return self._completed_sent_at_s.of(suspect) > -inf or any(
+            suspect in crash.stored_clearances for crash in self._crash_by_id.values()
+        )
 
     def _count(self, suspect: SuspectId) -> int:
         return sum(suspect in crash.suspects for crash in self._crash_by_id.values())
--- a/galenashift/retries/tests/test_crash_evidence.py
+++ b/galenashift/retries/tests/test_crash_evidence.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from galenashift.model import CrashSuspects
+from galenashift.model import Clearance, CrashSuspects
 from galenashift.retries import CRASH_LIFETIME_S, CrashEvidence
 from galenashift.retries._crash_evidence import (
     _MAX_CRASHES,
@@ -82,19 +82,54 @@
     # Most requests share parts; a report for each completion would load the store.
     evidence = evidence_of(suspects("once"), suspects("twice"), suspects("twice"))
     reported = evidence.record_completion(["once", "twice", "never"], sent_at_s=13.0)
-    assert reported == ("twice",)
+    assert reported == (Clearance(suspect="twice", crash_ids=("c1", "c2")),)
     reported = evidence.record_completion(["twice"], sent_at_s=14.0)
     assert reported == ()
 
 
-def test_report_of_a_cleared_suspect_lifts_the_quarantine():
+def test_suspect_that_is_cleared_of_one_crash_after_the_other_is_reported():
+    # A daemon that starts reads the reports on all crashes. A sound part that completed
+    # between them, and was never reported as cleared, was quarantined there (review/3).
+    evidence = CrashEvidence()
+    reported = []
+    for number in range(4):
+        now_s = 10.0 + number
+        evidence.record_crash(f"c{number}", suspects("bad", "sound"), now_s=now_s)
+        reported.append(evidence.record_completion(["sound"], sent_at_s=now_s + 0.5))
+    assert reported == [
+        (),
+        (Clearance(suspect="sound", crash_ids=("c0", "c1")),),
+        (),
+        (Clearance(suspect="sound", crash_ids=("c0", "c1", "c2", "c3")),),
+    ]
+
+
+def test_clearance_that_another_daemon_has_stored_is_not_reported_again():
+    # Each daemon of the fleet sees requests with the common parts complete.
+    evidence = evidence_of(*[suspects("part")] * 2)
+    stored = Clearance(suspect="part", crash_ids=("c0", "c1"))
+    assert not evidence.is_stored(stored)
+    evidence.record_clearance(stored, now_s=14.0)
+    assert evidence.is_stored(stored)
+    assert evidence.record_completion(["part"], sent_at_s=15.0) == ()
+
+
+@pytest.mark.parametrize("crash_ids", [("c0", "c1", "c2"), None])
+def test_report_of_a_cleared_suspect_lifts_the_quarantine(crash_ids):
     # A sound part that is quarantined at one daemon would stay refused there.
     evidence = evidence_of(*[suspects("part")] * 3)
     assert quarantined(evidence) == {"part"}
-    evidence.record_cleared("part", now_s=14.0)
+    clearance = Clearance(suspect="part", crash_ids=crash_ids)
+    evidence.record_clearance(clearance, now_s=14.0)
     assert evidence.decide(now_s=14.0).lifted == ("part",)
-    assert evidence.was_reported_cleared("part", since_s=14.0)
-    assert not evidence.was_reported_cleared("part", since_s=14.1)
+
+
+def test_clearance_holds_only_for_the_crashes_that_it_names():
+    # A part that crashes upstreams again later would never be quarantined.
+    evidence = evidence_of(*[suspects("part")] * 6)
+    clearance = Clearance(suspect="part", crash_ids=("c0", "c1", "c2"))
+    evidence.record_clearance(clearance, now_s=16.0)
+    assert only_quarantine(evidence, now_s=16.0).crashes == 3
 
 
 def test_crashes_are_forgotten_unless_their_requests_keep_coming():
@@ -167,31 +202,46 @@
 DAEMONS = 3
 BYSTANDERS = ("system", "user", "other")
 #: One step of the model: the daemon with the crashing request, what was in flight at
-#: the same upstream at which daemons, and whose reports are delivered only at the end.
+#: the same upstream at which daemons, whose reports are delivered only at the end, and
+#: which daemon is started again after the step, if any.
 STEP = st.tuples(
     st.integers(0, DAEMONS - 1),
     st.lists(
         st.tuples(st.integers(0, DAEMONS - 1), st.sampled_from(BYSTANDERS)), max_size=4
     ),
     st.sets(st.integers(0, DAEMONS - 1)),
+    st.none() | st.integers(0, DAEMONS - 1),
     st.randoms(use_true_random=False),
 )
 
 
-@given(st.lists(STEP, min_size=5, max_size=9), st.data())
+@given(
+    st.lists(STEP, min_size=5, max_size=9),
+    st.sampled_from([("system", "bad"), ("bad", "system")]),
+    st.data(),
+)
 @settings(deadline=None)
-def test_all_daemons_agree_on_the_cause_in_any_order_of_reports(steps, data):
-    # Guards against evidence that adds up only if it arrives in order, and against the
-    # quarantine of sound parts: they complete after each crash at some daemon.
+def test_all_daemons_agree_on_the_cause_in_any_order_of_reports(steps, prompt, data):
+    # Guards against evidence that adds up only if it arrives in order, against the
+    # quarantine of sound parts, which complete after each crash at some daemon, and
+    # against daemons that decide otherwise once they have started again.
     daemons = [CrashEvidence() for _ in range(DAEMONS)]
+    stored = []
     late = []
     crashes = 0
     now_s = 0.0
-    for number, (source, bystanders, delayed, random) in enumerate(steps):
+
+    def deliver(daemon, record, at_s):
+        if isinstance(record, Clearance):
+            daemon.record_clearance(record, now_s=at_s)
+        else:
+            daemon.record_crash(*record, now_s=at_s)
+
+    for number, (source, bystanders, delayed, restarted, random) in enumerate(steps):
         now_s += 1.0
         if "bad" not in quarantined(daemons[source], now_s=now_s):
             crashes += 1
-            reports = {source: ["system", "bad"]}
+            reports = {source: list(prompt)}
             for daemon, part in bystanders:
                 reports.setdefault(daemon, []).append(part)
             for reporter, parts in reports.items():
@@ -199,19 +249,26 @@
                 daemons[reporter].record_crash(*report, now_s=now_s)
                 targets = [each for each in daemons if each is not daemons[reporter]]
                 if reporter in delayed:
-                    late += [(target, report) for target in targets]
-                else:
-                    for target in random.sample(targets, len(targets)):
-                        target.record_crash(*report, now_s=now_s + 0.2)
+                    late.append(report)
+                    continue
+                stored.append(report)
+                for target in random.sample(targets, len(targets)):
+                    target.record_crash(*report, now_s=now_s + 0.2)
         completing = data.draw(st.integers(0, DAEMONS - 1))
         cleared = daemons[completing].record_completion(
             BYSTANDERS, sent_at_s=now_s + 0.5
         )
+        stored += cleared
+        for daemon in daemons:
+            for clearance in cleared:
+                daemon.record_clearance(clearance, now_s=now_s + 0.9)
+        if restarted is not None and not delayed:
+            daemons[restarted] = CrashEvidence()
+            for record in random.sample(stored, len(stored)):
+                deliver(daemons[restarted], record, now_s + 0.95)
+    for report in late:
         for daemon in daemons:
-            for suspect in cleared:
-                daemon.record_cleared(suspect, now_s=now_s + 0.9)
-    for target, report in late:
-        target.record_crash(*report, now_s=now_s + 1.0)
+            daemon.record_crash(*report, now_s=now_s + 1.0)
     for daemon in daemons:
         daemon.record_completion(BYSTANDERS, sent_at_s=now_s + 2.0)
         assert quarantined(daemon, now_s=now_s + 2.5) == (
