Suspect requests whose answers had begun at a crash as well

Cause: a request with a whole event was a suspect only at crashes without any other suspect. The digest of each request is a suspect, too, and a request that had no event and was not sent again is never cleared. So the begun ones stayed hidden for good, and not only until the sound parts beside them had completed. Ruled out: the bad part being cleared (no request with it completes); reports that are missing (each crash is reported by all daemons with requests there); an exclusion that ends with the first seconds of an answer (a constant that upstreams with slow events would pass). Change: all that was in flight is a suspect. Of suspects with the same number of crashes, the one that had begun at fewer of them is the cause. A suspect that completed recently needs two more crashes, not one, if it had begun at some. A stream that had begun waits for the probe of its crash before it is resumed, if one more crash could quarantine its parts; a resume carried the part to the next upstream before. Conclusion: what matters is that sound parts complete, and not how far an answer had come. Long streams with parts that never complete come last.

--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -83,12 +83,14 @@
     ) -> bool:
         """Tell whether a request is not repeated as it may crash the next upstream.
 
-        A stream that had begun is resumed in any case.
+        A stream that had begun is resumed unless its crash leads to a quarantine, which
+        is checked before the next send.
         """
         if suspicion is None or not job.route.repeatable:
             return False
-        if not suspicion.suspects.not_begun:
+        had_begun = not suspicion.suspects.not_begun
+        if had_begun and not self._crashes.is_suspected(job.suspects):
             return False
         with trio.move_on_after(_EXAMINATION_TIMEOUT_S):
             await suspicion.examined.wait()
-        return self._crashes.is_suspected(job.suspects)
+        return not had_begun and self._crashes.is_suspected(job.suspects)
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -329,6 +329,33 @@
     assert responder.finished
 
 
+class SlowlyExaminedCrashes(FakeCrashes):
+    """Quarantines all requests once the probe after a crash has ended."""
+
+    def suspect(self, suspicion):
+        trio.lowlevel.spawn_system_task(self._examine, suspicion)
+
+    async def _examine(self, suspicion):
+        await trio.sleep(0.1)
+        self.admits = 0
+        suspicion.examined.set()
+
+
+def test_stream_that_had_begun_is_not_resumed_if_its_crash_quarantines_it():
+    # Guards against a prompt part that each resumed stream carries to one more
+    # upstream, as the probe ends only after the stream was sent again.
+    broken_stream = StreamEnded(complete=False, started=True, detail="reset")
+    complete_stream = StreamEnded(complete=True, started=True, detail="")
+    exchanger, responder = serve(
+        "resumed",
+        broken_stream,
+        complete_stream,
+        crashes=SlowlyExaminedCrashes(suspected=True),
+    )
+    assert len(exchanger.requests) == 1
+    assert not responder.finished
+
+
 def test_unsent_request_is_refused_before_the_process_ends():
     # The connection of a request that waited for its stages was closed without an
     # answer when the daemon exited after SIGTERM.
--- a/galenashift/model/_crash.py
+++ b/galenashift/model/_crash.py
@@ -22,10 +22,8 @@
     #: Suspects in requests of which it had sent some.
     begun: DepthBySuspect
 
-    @property
-    def ids(self) -> tuple[SuspectId, ...]:
-        """All suspects."""
-        return (*self.not_begun, *self.begun)
+    def __contains__(self, suspect: object) -> bool:
+        return suspect in self.not_begun or suspect in self.begun
 
     def merged(self, other: "CrashSuspects") -> "CrashSuspects":
         """Return the suspects of both."""
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -16,7 +16,7 @@
     SuspectId,
 )
 
-from ._crash_causes import CRASHES_OF_CAUSE, find_causes
+from ._crash_causes import CRASHES_OF_CAUSE, SuspectedCrashes, find_causes
 from ._known_crash import KnownCrash
 
 #: Time for which a crash is remembered after it, and after the last request with its
@@ -193,7 +193,7 @@
         self._quarantine_by_suspect = {
             suspect: Quarantine(
                 suspect=suspect,
-                crashes=self._count(suspect),
+                crashes=self._count(suspect).total,
                 last_crash_at_s=self._last_crash_at_s(suspect),
             )
             for suspect in causes
@@ -223,10 +223,12 @@
     def is_suspected(self, suspects: Collection[SuspectId], *, now_s: float) -> bool:
         """Tell whether one more crash could quarantine a suspect of a request."""
         proven = self._completed_sent_at_s.since(now_s - _PROVEN_S)
-        return any(
-            self._count(suspect) - (suspect in proven) >= CRASHES_OF_CAUSE - 1
-            for suspect in suspects
-        )
+        for suspect in suspects:
+            count = self._count(suspect)
+            count.not_begun += 1
+            if count.may_be_cause(proven=suspect in proven):
+                return True
+        return False
 
     def begin_trial(self, quarantine: Quarantine, *, now_s: float) -> bool:
         """Tell whether to send one request in spite of a quarantine, and note it.
@@ -255,7 +257,7 @@
         """
         to_store = []
         for crash_id, crash in self._crash_by_id.items():
-            if quarantine.suspect not in crash.suspects:
+            if not crash.names(quarantine.suspect):
                 continue
             crash.expires_at_s = now_s + CRASH_LIFETIME_S
             if crash.stored_until_s - now_s < CRASH_LIFETIME_S / 2:
@@ -326,25 +328,27 @@
             suspect in crash.stored_clearances for crash in self._crash_by_id.values()
         )
 
-    def _count(self, suspect: SuspectId) -> int:
-        return sum(suspect in crash.suspects for crash in self._crash_by_id.values())
+    def _count(self, suspect: SuspectId) -> SuspectedCrashes:
+        count = SuspectedCrashes()
+        for crash in self._crash_by_id.values():
+            if suspect in crash.not_begun:
+                count.not_begun += 1
+            elif suspect in crash.begun:
+                count.begun += 1
+        return count
 
     def _last_crash_at_s(self, suspect: SuspectId) -> float:
         return max(
             crash.recorded_at_s
             for crash in self._crash_by_id.values()
-            if suspect in crash.suspects
+            if crash.names(suspect)
         )
 
     def _drop_trials_of_unknown_suspects(self) -> None:
         """Bound the record of trials by the suspects of known crashes."""
-        known = {
-            suspect
-            for crash in self._crash_by_id.values()
-            for suspect in crash.suspects
-        }
-        for suspect in self._tried_at_s.keys() - known:
-            del self._tried_at_s[suspect]
+        for suspect in list(self._tried_at_s):
+            if not self._count(suspect).total:
+                del self._tried_at_s[suspect]
 
 
 _NO_CHANGES = QuarantineChanges(begun=(), lifted=())
--- a/galenashift/retries/_known_crash.py
+++ b/galenashift/retries/_known_crash.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from galenashift.model import SuspectId
+from galenashift.model import CrashSuspects, SuspectId
 
 
 @dataclass(kw_only=True, eq=False)
@@ -24,13 +24,9 @@
     stored_clearances: set[SuspectId] = field(default_factory=set)
 
     @property
-    def suspects(self) -> dict[SuspectId, int]:
-        """Suspects that may be the cause.
-
-        A request whose answer had begun is one only where there are no others: crashes
-        come when an upstream begins to execute their cause.
-        """
-        return self.not_begun or self.begun
+    def suspects(self) -> CrashSuspects:
+        """Suspects that may be the cause."""
+        return CrashSuspects(not_begun=self.not_begun, begun=self.begun)
 
     def names(self, suspect: SuspectId) -> bool:
         """Tell whether a suspect was reported and is not cleared."""
--- a/galenashift/retries/tests/test_crash_causes.py
+++ b/galenashift/retries/tests/test_crash_causes.py
@@ -2,14 +2,19 @@
 
 import pytest
 
-from galenashift.model import REQUEST_DEPTH
+from galenashift.model import REQUEST_DEPTH, CrashSuspects
 from galenashift.retries._crash_causes import find_causes
 
 DEPTHS = {"system": 0, "user": 0, "bad": 1, "other": 1, "request": REQUEST_DEPTH}
 
 
 def crash(text):
-    return {suspect: DEPTHS[suspect] for suspect in text.split()}
+    """Return what was in flight; behind a bar, in requests with a whole event."""
+    not_begun, _, begun = text.partition("|")
+    return CrashSuspects(
+        not_begun={suspect: DEPTHS[suspect] for suspect in not_begun.split()},
+        begun={suspect: DEPTHS[suspect] for suspect in begun.split()},
+    )
 
 
 CASES = {
@@ -72,6 +77,19 @@
         "system",
         {"bad"},
     ),
+    # An upstream with some load always has a request without an event, so a part that
+    # crashes upstreams after the first event was never refused (review/5).
+    "crashes after the first event": (
+        ["user | bad", "other | system bad", "| bad"],
+        "",
+        "",
+        {"bad"},
+    ),
+    "begun at all crashes, not begun at all": (["bad | system"] * 3, "", "", {"bad"}),
+    "begun or not": (["| bad", "bad", "user | bad"], "", "", {"bad"}),
+    # Streams with common parts are in flight at most crashes by chance.
+    "completed recently, begun": (["| system"] * 4, "system", "", set()),
+    "completed recently, begun, one more": (["| bad"] * 5, "bad", "", {"bad"}),
     "none": ([], "", "bad", set()),
     "all cleared": (["", ""], "", "", set()),
 }
--- a/galenashift/retries/tests/test_crash_evidence.py
+++ b/galenashift/retries/tests/test_crash_evidence.py
@@ -47,13 +47,33 @@
     assert quarantined(evidence) == set()
 
 
-def test_request_whose_answer_had_begun_is_a_suspect_only_where_there_is_no_other():
+def test_request_whose_answer_had_begun_comes_after_one_without_an_event():
     # Long streams are in flight at many crashes that they do not cause.
     crashes = [suspects("bad", begun=("long",))] * 3
     assert quarantined(evidence_of(*crashes)) == {"bad"}
     assert quarantined(evidence_of(*[suspects(begun=("long",))] * 3)) == {"long"}
 
 
+def test_part_that_crashes_upstreams_after_the_first_event_is_quarantined():
+    # Guards against a part that crashes upstreams without limit: a request there that
+    # had no event, and was never sent again, hid it for good (review/5).
+    evidence = CrashEvidence()
+    for number in range(3):
+        now_s = 10.0 + number
+        crash = suspects("sound", f"request{number}", begun=("bad",))
+        evidence.record_crash(f"c{number}", crash, now_s=now_s)
+        evidence.record_completion(["sound"], sent_at_s=now_s + 0.5)
+    assert quarantined(evidence) == {"bad"}
+    assert evidence.is_suspected(["bad"], now_s=14.0)
+
+
+def test_reports_on_one_crash_may_differ_in_how_far_answers_had_come():
+    # One daemon had a request with the part that had begun, another one had not.
+    evidence = evidence_of(*[suspects(begun=("bad",))] * 3)
+    evidence.record_crash("c1", suspects("bad", "other"), now_s=13.0)
+    assert only_quarantine(evidence).crashes == 3
+
+
 @pytest.mark.parametrize(
     ("sent_at_s", "remaining"),
     [(9.0, {"part"}), (12.5, set())],
