Lift the quarantine of a common part after many crashes at once

Callers would see: after five or more upstreams crash at the same time, every prompt with a part that was in flight at each of them is refused for as long as such prompts come. Cause: a completed request cleared its parts only of crashes before it was sent, and no more are sent once the part is quarantined. From five crashes on a part was never tried again, also if requests with it had completed before. Ruled out: no trial for parts of many crashes is right where nothing with them ever completed, and stays. Change: a completion clears the crashes before its answer began, since upstreams crash as they begin to write one; requests that waited at other upstreams meanwhile clear the part. A part that completed before is tried once from five crashes on. No request with two quarantined parts is tried, as a trial of one can crash an upstream by the other.

--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -71,12 +71,13 @@
         self._crashes.suspect(suspicion)
         return suspicion
 
-    def complete(self, job: ActiveRequest, *, sent_at_s: float) -> None:
+    def complete(self, job: ActiveRequest, *, began_at_s: float) -> None:
         """Clear what a request contains, as an upstream answered it completely.
 
-        :param sent_at_s: Boot-time clock at which it was sent there, in seconds.
+        :param began_at_s: Boot-time clock from which on the answer was written, or an
+            earlier one, in seconds.
         """
-        self._crashes.complete(job.suspects, sent_at_s=sent_at_s)
+        self._crashes.complete(job.suspects, began_at_s=began_at_s)
 
     async def forbids_retry(
         self, job: ActiveRequest, suspicion: Suspicion | None
--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -130,10 +130,12 @@
         :returns: A `Trial` if it may be sent in spite of a quarantine.
         """
         self._decide()
-        quarantine = self._evidence.find_quarantine(suspects)
-        if quarantine is None:
+        quarantines = self._evidence.find_quarantines(suspects)
+        if not quarantines:
             return None
-        if self._tries(quarantine):
+        quarantine = quarantines[0]
+        # With two suspects, a trial of one may crash the upstream by the other.
+        if len(quarantines) == 1 and self._tries(quarantine):
             self._events.warning(
                 "quarantine-tried",
                 suspect=quarantine.suspect,
@@ -145,8 +147,8 @@
     def find_quarantine(self, suspects: Mapping[SuspectId, int]) -> Quarantine | None:
         """Return the quarantine of a request that was admitted before, if any."""
         self._decide()
-        quarantine = self._evidence.find_quarantine(suspects)
-        return None if quarantine is None else self._refuse(quarantine, suspects)
+        quarantines = self._evidence.find_quarantines(suspects)
+        return self._refuse(quarantines[0], suspects) if quarantines else None
 
     def _decide(self) -> None:
         changes = self._evidence.decide(now_s=self._clock())
@@ -194,12 +196,13 @@
                 "crash-not-examined", upstream=suspicion.upstream.upstream_id
             )
 
-    def complete(self, suspects: Mapping[SuspectId, int], *, sent_at_s: float) -> None:
+    def complete(self, suspects: Mapping[SuspectId, int], *, began_at_s: float) -> None:
         """Clear the suspects of a request that an upstream answered completely.
 
-        :param sent_at_s: Boot-time clock at which it was sent there, in seconds.
+        :param began_at_s: Boot-time clock from which on the answer was written, or an
+            earlier one, in seconds.
         """
-        cleared = self._evidence.record_completion(suspects, sent_at_s=sent_at_s)
+        cleared = self._evidence.record_completion(suspects, began_at_s=began_at_s)
         for clearance in cleared:
             try:
                 self._cleared_sender.send_nowait(clearance)
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -329,11 +329,11 @@
                 if responder.status is not None:
                     return resume_failure(head.status)
                 if head.status < _REDIRECTION:
-                    self._crash_policy.complete(job, sent_at_s=writer.sent_at_s)
+                    self._crash_policy.complete(job, began_at_s=writer.began_at_s)
                 await _deliver(responder, outcome)
                 return None
             case StreamEnded(complete=True):
-                self._crash_policy.complete(job, sent_at_s=writer.sent_at_s)
+                self._crash_policy.complete(job, began_at_s=writer.began_at_s)
                 await writer.finish()
                 return None
             case Broken() | Silent() | StreamEnded():
--- a/galenashift/gateway/_stream.py
+++ b/galenashift/gateway/_stream.py
@@ -40,6 +40,13 @@
         #: Time from `sent_at_s` to the first complete event, in seconds.
         self.first_byte_s = 0.0
 
+    @property
+    def began_at_s(self) -> float:
+        """Boot-time clock at the first event of the exchange, or at its start if there
+        is none, in seconds.
+        """
+        return self.sent_at_s + self.first_byte_s
+
     @property
     def resume_after(self) -> str | None:
         """Id of the last event that was forwarded to the caller."""
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -22,7 +22,9 @@
 #: Time for which a crash is remembered after it, and after the last request with its
 #: cause, in seconds.
 CRASH_LIFETIME_S = 600.0
-#: Crashes from which a cause is not tried again while requests with it come.
+#: Crashes from which a cause is not tried again while requests with it come. One with
+#: which a request has completed before is tried once: many upstreams can crash at the
+#: same time, with the same part in flight at each.
 _MAX_TRIED_CRASHES = 5
 #: Time from the last crash of a cause to its first trial, in seconds; it doubles with
 #: each further crash.
@@ -85,7 +87,7 @@
     """Crashes with the requests that were in flight, and what was cleared since.
 
     A suspect is a prompt part or the digest of a whole request. Once a request with it
-    completes, it is cleared of the crashes before that request was sent. What explains
+    completes, it is cleared of the crashes before the answer began. What explains
     several crashes is quarantined, see `find_causes`. Such a cause can be wrong, so one
     request with a cause of few crashes is tried again from time to time.
 
@@ -95,8 +97,8 @@
     def __init__(self) -> None:
         self._crash_by_id: OrderedDict[CrashId, KnownCrash] = OrderedDict()
         self._quarantine_by_suspect: dict[SuspectId, Quarantine] = {}
-        #: When the last request with a suspect was sent that completed.
-        self._completed_sent_at_s = _LatestTimes()
+        #: When the answer of the last request with a suspect began that completed.
+        self._completed_at_s = _LatestTimes()
         self._tried_at_s: dict[SuspectId, float] = {}
         #: Whether `decide` has taken all evidence into account.
         self._is_decided = True
@@ -130,17 +132,19 @@
             crash.stored_until_s = until_s
 
     def record_completion(
-        self, suspects: Collection[SuspectId], *, sent_at_s: float
+        self, suspects: Collection[SuspectId], *, began_at_s: float
     ) -> tuple[Clearance, ...]:
         """Clear the suspects of a request that was answered completely.
 
-        :param sent_at_s: Time at which it was sent to the upstream that answered it.
+        :param began_at_s: Time from which on the upstream wrote the answer, or an
+            earlier one. Upstreams crash as they begin to answer, so the request tells
+            nothing about crashes after that.
         :returns: What to report to other daemons, once.
         """
         to_report = []
         for suspect in suspects:
-            self._completed_sent_at_s.note(suspect, sent_at_s)
-            self._clear(suspect, before_s=sent_at_s)
+            self._completed_at_s.note(suspect, began_at_s)
+            self._clear(suspect, before_s=began_at_s)
             clearance = self._take_clearance(suspect)
             if clearance is not None:
                 to_report.append(clearance)
@@ -183,7 +187,7 @@
         if self._is_decided:
             return _NO_CHANGES
         self._is_decided = True
-        proven = self._completed_sent_at_s.since(now_s - _PROVEN_S)
+        proven = self._completed_at_s.since(now_s - _PROVEN_S)
         before = self._quarantine_by_suspect
         causes = find_causes(
             [each.suspects for each in self._crash_by_id.values()],
@@ -212,17 +216,19 @@
             ),
         )
 
-    def find_quarantine(self, suspects: Collection[SuspectId]) -> Quarantine | None:
-        """Return a quarantine that covers a request, by the last `decide`."""
-        for suspect in suspects:
-            quarantine = self._quarantine_by_suspect.get(suspect)
-            if quarantine is not None:
-                return quarantine
-        return None
+    def find_quarantines(
+        self, suspects: Collection[SuspectId]
+    ) -> tuple[Quarantine, ...]:
+        """Return the quarantines that cover a request, by the last `decide`."""
+        return tuple(
+            self._quarantine_by_suspect[suspect]
+            for suspect in suspects
+            if suspect in self._quarantine_by_suspect
+        )
 
     def is_suspected(self, suspects: Collection[SuspectId], *, now_s: float) -> bool:
         """Tell whether one more crash could quarantine a suspect of a request."""
-        proven = self._completed_sent_at_s.since(now_s - _PROVEN_S)
+        proven = self._completed_at_s.since(now_s - _PROVEN_S)
         for suspect in suspects:
             count = self._count(suspect)
             count.not_begun += 1
@@ -235,19 +241,19 @@
 
         Only one daemon of the fleet may ask.
         """
-        if quarantine.crashes >= _MAX_TRIED_CRASHES:
-            return False
-        excess = max(0, quarantine.crashes - CRASHES_OF_CAUSE)
-        has_completed = self._has_completed(quarantine.suspect)
+        suspect = quarantine.suspect
+        has_completed = self._has_completed(suspect)
         first_s = _TRIAL_DELAY_OF_PROVEN_S if has_completed else _TRIAL_DELAY_S
-        delay_s = first_s * 2**excess
-        last_s = max(
-            quarantine.last_crash_at_s,
-            self._tried_at_s.get(quarantine.suspect, 0.0),
-        )
-        if now_s - last_s < delay_s:
+        excess = max(0, quarantine.crashes - CRASHES_OF_CAUSE)
+        if quarantine.crashes >= _MAX_TRIED_CRASHES:
+            if suspect in self._tried_at_s or not has_completed:
+                return False
+            excess = 0
+        tried_at_s = self._tried_at_s.get(suspect, 0.0)
+        last_s = max(quarantine.last_crash_at_s, tried_at_s)
+        if now_s - last_s < first_s * 2**excess:
             return False
-        self._tried_at_s[quarantine.suspect] = now_s
+        self._tried_at_s[suspect] = now_s
         return True
 
     def extend(self, quarantine: Quarantine, *, now_s: float) -> tuple[CrashId, ...]:
@@ -291,7 +297,7 @@
         self, crash: KnownCrash, known: dict[SuspectId, int], reported: DepthBySuspect
     ) -> None:
         for suspect, depth in reported.items():
-            if self._completed_sent_at_s.of(suspect) >= crash.recorded_at_s:
+            if self._completed_at_s.of(suspect) >= crash.recorded_at_s:
                 crash.clear(suspect)
             elif suspect not in crash.cleared:
                 known[suspect] = depth
@@ -324,7 +330,7 @@
 
     def _has_completed(self, suspect: SuspectId) -> bool:
         """Tell whether a request with a suspect has completed at any daemon."""
-        return self._completed_sent_at_s.of(suspect) > -inf or any(
+        return self._completed_at_s.of(suspect) > -inf or any(
             suspect in crash.stored_clearances for crash in self._crash_by_id.values()
         )
 
