Bound the memory of all answers in progress together

Callers would see: all requests of a daemon end with it, as upstreams that send without end fill its memory (operators' report). Each answer was bounded by 8 MB and each event by 1 MB, and nothing bounded their sum; an entry instance has 300 MB. Cause: a bound for each message, and none for the resource that they share. Ruled out: smaller bounds for single answers (sound ones need them); refusing the answer that comes last (it is a sound one). Change: bodies and incomplete events of all exchanges, stage calls and resumed streams share a fifth of the memory limit in the settings. Past it, the largest answer is dropped at once and its exchange broken off: an answer without end grows until it is the largest. Conclusion: complete answers that wait for slow callers are not counted, nor is the product's own interface changed.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from galenashift.limits import UpstreamRates
+from galenashift.limits import AnswerMemory, UpstreamRates
 from galenashift.listeners import DrainingListener, StreamHandler
 from galenashift.model import (
     CallerLimits,
@@ -64,6 +64,10 @@
 #: Network bandwidth that the work for peers uses per core, in Mbit/s.
 _LINK_MBPS_PER_CORE = 50.0
 
+#: Share of the memory limit for answers that are being received. An answer that is
+#: complete, and one that a caller reads slowly, is held outside of it.
+_ANSWER_MEMORY_SHARE = 0.2
+
 _OK = 200
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
@@ -86,7 +90,10 @@
         self._metrics = Metrics()
         self._view = PlatformView(report=self._on_view_change)
         self._health = HealthTracker()
-        self._pool = ConnectionPool()
+        answer_memory = AnswerMemory(
+            limit_bytes=int(_ANSWER_MEMORY_SHARE * settings.memory_bytes)
+        )
+        self._pool = ConnectionPool(memory=answer_memory)
         self._shutdown = Shutdown(grace_s=settings.bounds.grace_s)
         self._connections: set[CallerConnection] = set()
         self._caller_listener: DrainingListener | None = None
@@ -178,6 +185,7 @@
             latencies=latencies,
             crashes=self._crashes,
             drain_admission=DrainAdmission(drain_period=lambda: self._shutdown.period),
+            answer_memory=answer_memory,
             events=self._events,
             metrics=self._metrics,
             clock=clock,
--- a/galenashift/gateway/_connection.py
+++ b/galenashift/gateway/_connection.py
@@ -7,6 +7,8 @@
 import h11
 import trio
 
+from galenashift.limits import AnswerMemory
+
 #: Timeout of a connection attempt, in seconds.
 CONNECT_TIMEOUT_S = 0.4
 #: Time after which a connection with unacknowledged data is closed, in milliseconds.
@@ -51,6 +53,19 @@
         super().__init__(f"the {part} has more than {max_bytes} bytes")
 
 
+class AnswerEvicted(ConnectionFailed):
+    """The answer was the largest one when all answers together became too large.
+
+    :param limit_bytes: Most memory for all answers in progress, in bytes.
+    """
+
+    def __init__(self, *, limit_bytes: int) -> None:
+        super().__init__(
+            f"the answers in progress have more than {limit_bytes} bytes, and this is"
+            " the largest one"
+        )
+
+
 class ConnectFailed(ConnectionFailed):
     """No connection was established, so nothing was sent.
 
@@ -79,10 +94,12 @@
     """A connection that processes one request at a time.
 
     :param sock: A connected socket, which `close` closes.
+    :param memory: Memory of all answers in progress.
     """
 
-    def __init__(self, sock: trio.socket.SocketType) -> None:
+    def __init__(self, sock: trio.socket.SocketType, *, memory: AnswerMemory) -> None:
         self._sock = sock
+        self._memory = memory
         self._parser = h11.Connection(h11.CLIENT)
         self._closed = False
         self._peer_closed = False
@@ -173,13 +190,22 @@
         :param max_bytes: Largest body that is buffered, in bytes.
         :raises ConnectionFailed: If the body is incomplete.
         :raises AnswerTooLarge: If the body is larger.
+        :raises AnswerEvicted: If all answers together are too large.
         """
         body = bytearray()
-        while (part := await self.read_data()) is not None:
-            body += part
-            if len(body) > max_bytes:
-                raise AnswerTooLarge("body", max_bytes=max_bytes)
-        return bytes(body)
+        reservation = self._memory.reserve(on_evicted=body.clear)
+        try:
+            while (part := await self.read_data()) is not None:
+                body += part
+                if len(body) > max_bytes:
+                    raise AnswerTooLarge("body", max_bytes=max_bytes)
+                if not reservation.resize(len(body)):
+                    raise AnswerEvicted(limit_bytes=self._memory.limit_bytes)
+            if reservation.is_evicted:
+                raise AnswerEvicted(limit_bytes=self._memory.limit_bytes)
+            return bytes(body)
+        finally:
+            reservation.resize(0)
 
     async def _next_event(self) -> h11.Event:
         while True:
--- a/galenashift/gateway/_event_parts.py
+++ b/galenashift/gateway/_event_parts.py
@@ -1,6 +1,8 @@
 """Splits a server-sent event stream into complete events and reads their ids."""
 
-from ._connection import AnswerTooLarge
+from galenashift.limits import AnswerMemory
+
+from ._connection import AnswerEvicted, AnswerTooLarge
 
 #: Largest incomplete event that is buffered, in bytes.
 MAX_EVENT_BYTES = 1_000_000
@@ -10,10 +12,15 @@
 
 
 class EventSplitter:
-    """Buffers the end of a stream until its last event is complete."""
+    """Buffers the end of a stream until its last event is complete.
+
+    :param memory: Memory of all answers in progress.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory: AnswerMemory) -> None:
         self._partial_event = b""
+        self._memory = memory
+        self._reservation = memory.reserve(on_evicted=self._drop_partial)
         #: Id of the last complete event.
         self.last_id: str | None = None
 
@@ -22,19 +29,28 @@
 
         :param data: Next bytes of the stream.
         :raises AnswerTooLarge: If the incomplete event exceeds `MAX_EVENT_BYTES`.
+        :raises AnswerEvicted: If all answers together are too large.
         """
+        if self.is_evicted:
+            raise AnswerEvicted(limit_bytes=self._memory.limit_bytes)
         buffered = self._partial_event + data
         end = _end_of_last_event(buffered)
         if end == 0:
             if len(buffered) > MAX_EVENT_BYTES:
                 raise AnswerTooLarge("event", max_bytes=MAX_EVENT_BYTES)
-            self._partial_event = buffered
+            if not self._keep(buffered):
+                raise AnswerEvicted(limit_bytes=self._memory.limit_bytes)
             return b""
         complete_events = buffered[:end]
-        self._partial_event = buffered[end:]
+        self._keep(buffered[end:])
         self.last_id = _last_id(complete_events) or self.last_id
         return complete_events
 
+    @property
+    def is_evicted(self) -> bool:
+        """Whether the incomplete event was dropped to free its memory."""
+        return self._reservation.is_evicted
+
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun that is not complete."""
@@ -42,11 +58,21 @@
 
     def take_partial(self) -> bytes:
         """Return and clear the data after the last complete event."""
-        partial_event, self._partial_event = self._partial_event, b""
+        partial_event = self._partial_event
+        self._keep(b"")
         return partial_event
 
     def discard_partial(self) -> None:
         """Discard the incomplete event of an interrupted stream."""
+        self._keep(b"")
+        self._reservation = self._memory.reserve(on_evicted=self._drop_partial)
+
+    def _keep(self, partial_event: bytes) -> bool:
+        """Buffer an incomplete event, and tell whether it was kept."""
+        self._partial_event = partial_event
+        return self._reservation.resize(len(partial_event))
+
+    def _drop_partial(self) -> None:
         self._partial_event = b""
 
 
--- a/galenashift/gateway/_pool.py
+++ b/galenashift/gateway/_pool.py
@@ -1,5 +1,6 @@
 """Pool of idle connections to upstreams."""
 
+from galenashift.limits import AnswerMemory
 from galenashift.model import RegisteredUpstream, UpstreamId
 
 from ._connection import UpstreamConnection, open_socket
@@ -16,9 +17,13 @@
 
 
 class ConnectionPool:
-    """Keeps idle connections by upstream and reuses the most recently used first."""
+    """Keeps idle connections by upstream and reuses the most recently used first.
 
-    def __init__(self) -> None:
+    :param memory: Memory of all answers in progress.
+    """
+
+    def __init__(self, *, memory: AnswerMemory) -> None:
+        self._memory = memory
         self._idle_by_id: dict[UpstreamId, list[UpstreamConnection]] = {}
         #: Number of connection attempts, for the metrics.
         self.opened = 0
@@ -47,7 +52,7 @@
         """
         self.opened += 1
         sock = await open_socket(host=upstream.host, port=upstream.port)
-        return UpstreamConnection(sock)
+        return UpstreamConnection(sock, memory=self._memory)
 
     def release(
         self, upstream_id: UpstreamId, connection: UpstreamConnection, *, now_s: float
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import assert_never
 
+from galenashift.limits import AnswerMemory
 from galenashift.model import (
     Failure,
     FailureDomainName,
@@ -82,6 +83,7 @@
         latencies: ServiceLatencies,
         crashes: CrashGuard,
         drain_admission: DrainAdmission,
+        answer_memory: AnswerMemory,
         events: EventLog,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -94,6 +96,7 @@
         self._latencies = latencies
         self._crash_policy = CrashPolicy(crashes=crashes)
         self._drain_admission = drain_admission
+        self._answer_memory = answer_memory
         #: Requests that are being answered.
         self.open_requests = OpenRequests()
         self._recorder = OutcomeRecorder(health=router.health, latencies=latencies)
@@ -219,8 +222,21 @@
         writer = StreamWriter(
             responder=responder,
             last_id=job.fields.last_event_id,
+            memory=self._answer_memory,
             on_first_event=on_first_event,
         )
+        try:
+            return await self._send_until_answered(job, responder, inputs, writer)
+        finally:
+            writer.discard_partial_event()
+
+    async def _send_until_answered(
+        self,
+        job: ActiveRequest,
+        responder: Responder,
+        inputs: tuple[Handle, ...],
+        writer: StreamWriter,
+    ) -> Failure | None:
         while True:
             choice = await self._selector.wait(job)
             refused = self._crash_policy.refusal_before_send(job)
--- a/galenashift/gateway/_stream.py
+++ b/galenashift/gateway/_stream.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from galenashift.limits import AnswerMemory
 from galenashift.platform import encode_answer, find_header
 
 from ._caller import Responder
@@ -19,6 +20,7 @@
 
     :param responder: Writes the answer to the caller.
     :param last_id: Id of the event after which the caller resumes, if it does.
+    :param memory: Memory of all answers in progress.
     :param on_first_event: Called when the first event of an exchange has arrived.
     """
 
@@ -27,10 +29,11 @@
         *,
         responder: Responder,
         last_id: str | None,
+        memory: AnswerMemory,
         on_first_event: Callable[[], None] = lambda: None,
     ) -> None:
         self._responder = responder
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(memory=memory)
         self._splitter.last_id = last_id
         self._head: AnswerHead | None = None
         self._on_first_event = on_first_event
@@ -63,6 +66,7 @@
 
         :returns: Whether any data was written.
         :raises CallerGone: If the caller has closed the connection.
+        :raises ConnectionFailed: If an event is too large.
         """
         self._head = self._head or head
         complete_events = self._splitter.feed(data)
@@ -91,6 +95,8 @@
         An event stream that ends inside an event has been broken off, however its end
         was marked. Other bodies are forwarded as they are.
         """
+        if self._splitter.is_evicted:
+            return False
         return not self._splitter.is_inside_event or not self._has_events
 
     @property
--- a/galenashift/gateway/tests/factories.py
+++ b/galenashift/gateway/tests/factories.py
@@ -6,7 +6,7 @@
 from galenashift.gateway._stage_job import JobId, StageJob, Worker
 from galenashift.gateway._upstream_limits import UpstreamLimiter
 from galenashift.gateway._view import KnownUpstream
-from galenashift.limits import UpstreamRates
+from galenashift.limits import AnswerMemory, UpstreamRates
 from galenashift.model import (
     AnswerFields,
     DaemonId,
@@ -94,6 +94,10 @@
     )
 
 
+def new_memory(*, limit_bytes: int = 10_000_000) -> AnswerMemory:
+    return AnswerMemory(limit_bytes=limit_bytes)
+
+
 def limited_answer(per_s: float) -> AnswerFields:
     """Return the fields of an answer that states a limit."""
     return replace(_PLAIN_ANSWER, stated_limit=RateLimit(per_s=per_s))
--- a/galenashift/gateway/tests/test_broken_answers.py
+++ b/galenashift/gateway/tests/test_broken_answers.py
@@ -4,6 +4,7 @@
 
 from galenashift.gateway._exchange import Broken, StreamEnded
 from galenashift.gateway._stream import StreamWriter
+from galenashift.gateway.tests.factories import new_memory
 from galenashift.gateway.tests.relay_fakes import (
     EVENTS,
     REFUSED,
@@ -87,7 +88,7 @@
     # A stream cut inside an event was passed on with the part of the event and marked
     # complete, whenever its length or its end was stated, or its connection ended.
     responder = FakeResponder()
-    writer = StreamWriter(responder=responder, last_id=None)
+    writer = StreamWriter(responder=responder, last_id=None, memory=new_memory())
     outcome = run_exchange(
         Upstream(("read", *script)),
         lambda exchange: exchange(
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -1,5 +1,6 @@
 """Exchanges with upstreams whose connections fail in various ways."""
 
+import contextlib
 import os
 import time
 from functools import partial
@@ -20,7 +21,7 @@
     StreamEnded,
 )
 from galenashift.gateway._pool import ConnectionPool
-from galenashift.gateway.tests.factories import new_limiter, registration_at
+from galenashift.gateway.tests.factories import new_limiter, new_memory, registration_at
 
 COMPLETE_ANSWER = (
     b"HTTP/1.1 200 OK\r\nGalenashift-Attempt-Id: a1\r\nContent-Length: 2\r\n\r\nok"
@@ -63,7 +64,12 @@
 
     async def serve(self, stream):
         self.connections += 1
-        script = self.scripts.pop(0)
+        # The daemon may break off the answer.
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self._play(stream, self.scripts.pop(0))
+        stream.socket.close()
+
+    async def _play(self, stream, script):
         for step in script:
             if isinstance(step, bytes):
                 await stream.send_all(step)
@@ -83,13 +89,12 @@
                     trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger
                 )
                 break
-        stream.socket.close()
 
 
-def new_exchange(port):
+def new_exchange(port, *, memory=None):
     """Return a function that sends a request to a port, with its own connections."""
     exchanger = Exchanger(
-        pool=ConnectionPool(),
+        pool=ConnectionPool(memory=memory or new_memory()),
         limiter=new_limiter(trio.current_time),
         clock=trio.current_time,
     )
@@ -98,7 +103,7 @@
     )
 
 
-def run_exchange(upstream, scenario):
+def run_exchange(upstream, scenario, *, memory=None):
     """Run `scenario(exchange)` against the upstream."""
 
     async def run():
@@ -106,7 +111,7 @@
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             port = listeners[0].socket.getsockname()[1]
             nursery.start_soon(partial(trio.serve_listeners, upstream.serve, listeners))
-            result = await scenario(new_exchange(port))
+            result = await scenario(new_exchange(port, memory=memory))
             nursery.cancel_scope.cancel()
         return result
 
--- a/galenashift/gateway/tests/test_faulty_answers.py
+++ b/galenashift/gateway/tests/test_faulty_answers.py
@@ -3,8 +3,9 @@
 import json
 
 import pytest
+import trio
 
-from galenashift.gateway._connection import AnswerTooLarge
+from galenashift.gateway._connection import AnswerEvicted, AnswerTooLarge
 from galenashift.gateway._event_parts import MAX_EVENT_BYTES, EventSplitter
 from galenashift.gateway._exchange import (
     Answered,
@@ -15,6 +16,7 @@
     next_event_deadline_s,
 )
 from galenashift.gateway._recent_handles import MAX_HANDLES, RecentHandles
+from galenashift.gateway.tests.factories import new_memory
 from galenashift.gateway.tests.test_exchange import (
     CHUNKED_HEAD,
     COMPLETE_ANSWER,
@@ -55,6 +57,51 @@
     assert "more than" in outcome.detail
 
 
+def test_largest_answer_is_cut_off_if_all_together_are_too_large():
+    # Guards against answers without end that each stay below their bound, and together
+    # fill the memory of the process; a sound answer beside them arrives.
+    sound = (CHUNKED_HEAD, b"2\r\nok\r\n", 0.2, b"0\r\n\r\n")
+    endless = (CHUNKED_HEAD, *[_chunk(10_000), 0.01] * 8, "hang")
+    memory = new_memory(limit_bytes=65_000)
+    outcomes = {}
+
+    async def scenario(exchange):
+        async def send(name):
+            outcomes[name] = await exchange(request=new_request())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, "sound")
+            await trio.sleep(0.05)
+            nursery.start_soon(send, "endless")
+            await trio.sleep(0.05)
+            nursery.start_soon(send, "last")
+
+    upstream = Upstream(("read", *sound), ("read", *endless), ("read", *endless))
+    run_exchange(upstream, scenario, memory=memory)
+    assert isinstance(outcomes["sound"], Answered)
+    assert isinstance(outcomes["endless"], Broken)
+    assert "largest" in outcomes["endless"].detail
+    assert memory.used_bytes == 0
+
+
+def test_events_without_end_share_the_memory_of_all_answers():
+    # Guards against many streams whose events never end: the largest is cut off, its
+    # memory is free at once, and the stream may resume at another upstream.
+    memory = new_memory(limit_bytes=250_000)
+    endless = EventSplitter(memory=memory)
+    sound = EventSplitter(memory=memory)
+    sound.feed(b"data: ")
+    endless.feed(b"x" * 100_000)
+    with pytest.raises(AnswerEvicted):
+        endless.feed(b"x" * 150_000)
+    assert endless.is_evicted
+    assert memory.used_bytes == len(b"data: ")
+    assert sound.feed(b"y\n\n") == b"data: y\n\n"
+    endless.discard_partial()
+    assert endless.feed(b"data: z\n\n") == b"data: z\n\n"
+    assert memory.used_bytes == 0
+
+
 def test_answer_of_the_largest_size_is_complete():
     head = CHUNKED_HEAD + _chunk(MAX_ANSWER_BYTES) + b"0\r\n\r\n"
     _, outcome = exchange_once("read", head, "hang")
@@ -63,7 +110,7 @@
 
 
 def test_event_without_end_is_cut_off():
-    splitter = EventSplitter()
+    splitter = EventSplitter(memory=new_memory())
     part = b"x" * 100_000
     for _ in range(MAX_EVENT_BYTES // len(part)):
         assert splitter.feed(part) == b""
@@ -106,7 +153,7 @@
 
 
 def test_stalled_stream_that_sends_single_bytes_times_out():
-    splitter = EventSplitter()
+    splitter = EventSplitter(memory=new_memory())
 
     async def sink(head, data):
         return bool(splitter.feed(data))
--- a/galenashift/limits/__init__.py
+++ b/galenashift/limits/__init__.py
@@ -1,5 +1,6 @@
-"""Organisation limits, cold-start permits, fair queueing and concurrency limits."""
+"""Organisation limits, permits, fair queueing, concurrency and memory limits."""
 
+from ._answer_memory import AnswerMemory, AnswerReservation
 from ._bucket import TokenBucket
 from ._concurrency import ConcurrencyLimit
 from ._fair_queue import FairQueue, Ticket
@@ -22,6 +23,8 @@
     "MAX_GRANT_WAIT_S",
     "NEW_GATEKEEPER_WAIT_S",
     "PERMIT_START_TIMEOUT_S",
+    "AnswerMemory",
+    "AnswerReservation",
     "ColdPermitSource",
     "ConcurrencyLimit",
     "FairQueue",
--- a/galenashift/platform/_settings.py
+++ b/galenashift/platform/_settings.py
@@ -16,7 +16,8 @@
 
 
 _MAX_PORT = 65_535
-#: Largest number of cores, seconds, requests or Mbit/s in the settings.
+_BYTES_PER_MB = 1_000_000
+#: Largest number of cores, seconds, requests, megabytes or Mbit/s in the settings.
 _MAX_QUANTITY = 1e9
 
 
@@ -71,6 +72,8 @@
     store: Address
     #: CPU limit of the process, in cores.
     cores: float
+    #: Memory limit of the process, in bytes.
+    memory_bytes: int
     #: Bandwidth of the instance's network link, in Mbit/s.
     link_mbps: float
     bounds: Bounds
@@ -107,6 +110,7 @@
         ),
         store=decode_address(platform["address"]),
         cores=_to_quantity(limits["cpu_share"]) * _to_quantity(limits["cores"]),
+        memory_bytes=int(_to_quantity(limits["memory_mb"]) * _BYTES_PER_MB),
         link_mbps=_to_quantity(limits["link_mbps"]),
         bounds=Bounds(
             grace_s=_to_quantity(bounds["grace_s"]),
--- a/standins/_platform_http.py
+++ b/standins/_platform_http.py
@@ -77,8 +77,10 @@
 
     async def watch(scope: trio.CancelScope) -> None:
         nonlocal gone
-        data = await stream.receive_some(_READ_BYTES)
-        gone = not data
+        try:
+            gone = not await stream.receive_some(_READ_BYTES)
+        except trio.BrokenResourceError:
+            gone = True
         scope.cancel()
 
     reset = False
--- a/standins/_platform_upstream.py
+++ b/standins/_platform_upstream.py
@@ -86,6 +86,9 @@
     #: ``Retry-After`` with which it refuses all requests, in seconds; None to accept
     #: them.
     pause: str | None = None
+    #: Chunk that its answers repeat without end, and the pause between two, in seconds.
+    endless_chunk: bytes | None = None
+    endless_pause_s: float = 0.05
     #: Called at a crash; closes all connections of the upstream.
     on_crash: Callable[[], None] = lambda: None
     #: Planned starts, in addition to the one after each crash.
@@ -163,6 +166,8 @@
         headers["galenashift-engine-signature"] = f"{self.name}.{attempt}"
         if self.random.random() < self.failure_probability:
             return Reply(status=500, headers=headers, body=b"failed")
+        if self.endless_chunk is not None:
+            return Reply(headers=headers, parts=self._send_without_end())
         if self.kind is Kind.PLAIN:
             return Reply(headers=headers, body=f"answer to {attempt}".encode())
         after = int(request.headers.get("last-event-id", "0"))
@@ -170,6 +175,11 @@
             return Reply(headers=headers, parts=self._crash(attempt))
         return Reply(headers=headers, parts=self._stream(attempt, after))
 
+    async def _send_without_end(self) -> AsyncIterator[bytes]:
+        while self.endless_chunk is not None:
+            yield self.endless_chunk
+            await trio.sleep(self.endless_pause_s)
+
     def _crashes(self, request: Request) -> bool:
         entries = request.headers.get(_PROMPT_PARTS_HEADER, "").split(",")
         shared = {entry.partition(":")[0] for entry in entries[:-1]}
