Do not reuse a connection after a stage answer without results

Cause: calls of stages have no attempt id, so a late second answer was known only by a handle that an earlier call had returned. A copy of an answer that holds reasons alone, or of a refusal, passed for the answer to the next call; that call's own answer, with new handles, was taken by the call after it. Ruled out: an attempt id on these calls (the protocol shows none on them, and an engine that does not echo it would lose every answer); results swapped in the scheduler (they are matched by position within one answer). Change: only a new handle proves that an answer belongs to its call. After any other one, idle connections to the upstream are closed, as they were after a malformed answer. Calls that free results need nothing: their answer, read in place of one with results, is malformed. Conclusion: no shift can begin, as a copy meets a closed connection.

--- a/galenashift/gateway/_stage_call.py
+++ b/galenashift/gateway/_stage_call.py
@@ -10,12 +10,13 @@
     encode_run,
 )
 
-from ._exchange import Exchanger, ExchangeTimeouts, Outcome
+from ._exchange import Answered, Exchanger, ExchangeTimeouts, Outcome
 from ._recent_handles import RecentHandles
 from ._stage_job import Batch, PieceRef
 from ._stage_upstream import stage_request
 from ._view import KnownUpstream
 
+_OK = 200
 #: Timeout of a call as a multiple of its expected duration.
 _CALL_TIMEOUT_FACTOR = 3.0
 #: Allowance for the network round trip in the timeout of a call, in seconds.
@@ -47,28 +48,41 @@
         )
         request = stage_request(upstream, path=RUN_PATH, body=body)
         wait_s = _CALL_TIMEOUT_FACTOR * expected_s + _ROUND_TRIP_S
-        return await self._exchanger.exchange(
+        outcome = await self._exchanger.exchange(
             upstream=upstream.registration,
             request=request,
             timeouts=ExchangeTimeouts(first_byte_s=wait_s, event_gap_s=wait_s),
         )
+        if not _has_results(outcome):
+            self._exchanger.close_idle(batch.upstream_id)
+        return outcome
 
     def decode_answer(
         self, batch: Batch, body: bytes
     ) -> tuple[Handle | PieceProblem, ...]:
         """Decode the results of a batch, in the order of its pieces.
 
+        Only a new handle proves that the answer is not a copy of an earlier one. After
+        any other answer, the one to this call may still arrive on its connection, or a
+        copy of this one, so the connection is not used again.
+
         :raises StageAnswerError: If the answer is malformed, or is a copy of the answer
             to an earlier call.
         """
         pieces = [ref.piece for ref in batch.pieces]
         try:
-            return self._recent_handles.decode_answer(body, pieces=pieces)
+            results = self._recent_handles.decode_answer(body, pieces=pieces)
         except StageAnswerError:
-            # The answer to this call may still arrive on its connection.
             self._exchanger.close_idle(batch.upstream_id)
             raise
+        if all(isinstance(each, PieceProblem) for each in results):
+            self._exchanger.close_idle(batch.upstream_id)
+        return results
 
     def remember(self, handle: Handle, ref: PieceRef) -> None:
         """Remember the handle of a result, to recognise copies of its answer."""
         self._recent_handles.add(handle, ref.piece)
+
+
+def _has_results(outcome: Outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.head.status == _OK
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -91,33 +91,42 @@
                 break
 
 
-def new_exchange(port, *, memory=None):
-    """Return a function that sends a request to a port, with its own connections."""
-    exchanger = Exchanger(
+def new_exchanger(*, memory=None):
+    """Return an exchanger with its own connections."""
+    return Exchanger(
         pool=ConnectionPool(memory=memory or new_memory()),
         limiter=new_limiter(trio.current_time),
         clock=trio.current_time,
     )
-    return partial(
-        exchanger.exchange, upstream=registration_at(port), timeouts=TIMEOUTS
-    )
 
 
-def run_exchange(upstream, scenario, *, memory=None):
-    """Run `scenario(exchange)` against the upstream."""
+def run_exchanger(upstream, scenario, *, memory=None):
+    """Run `scenario(exchanger, registration)` against the upstream."""
 
     async def run():
+        exchanger = new_exchanger(memory=memory)
         async with trio.open_nursery() as nursery:
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             port = listeners[0].socket.getsockname()[1]
             nursery.start_soon(partial(trio.serve_listeners, upstream.serve, listeners))
-            result = await scenario(new_exchange(port, memory=memory))
+            result = await scenario(exchanger, registration_at(port))
             nursery.cancel_scope.cancel()
         return result
 
     return trio.run(run)
 
 
+def run_exchange(upstream, scenario, *, memory=None):
+    """Run `scenario(exchange)` against the upstream."""
+
+    async def run(exchanger, registration):
+        return await scenario(
+            partial(exchanger.exchange, upstream=registration, timeouts=TIMEOUTS)
+        )
+
+    return run_exchanger(upstream, run, memory=memory)
+
+
 def exchange_once(*script, **request):
     upstream = Upstream(script)
     outcome = run_exchange(
@@ -317,7 +326,9 @@
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listeners[0].socket.getsockname()[1]
         await listeners[0].aclose()
-        return await new_exchange(port)(request=new_request())
+        return await new_exchanger().exchange(
+            upstream=registration_at(port), request=new_request(), timeouts=TIMEOUTS
+        )
 
     assert isinstance(trio.run(run), NotSent)
 
--- a/galenashift/gateway/tests/test_faulty_answers.py
+++ b/galenashift/gateway/tests/test_faulty_answers.py
@@ -1,5 +1,6 @@
 """Answers of faulty upstreams: without end, late copies, and stalled streams."""
 
+import contextlib
 import json
 
 import pytest
@@ -16,7 +17,10 @@
     next_event_deadline_s,
 )
 from galenashift.gateway._recent_handles import MAX_HANDLES, RecentHandles
-from galenashift.gateway.tests.factories import new_memory
+from galenashift.gateway._stage_call import StageCaller
+from galenashift.gateway._stage_job import Batch, PieceRef
+from galenashift.gateway._view import KnownUpstream
+from galenashift.gateway.tests.factories import new_job, new_memory
 from galenashift.gateway.tests.test_exchange import (
     CHUNKED_HEAD,
     COMPLETE_ANSWER,
@@ -26,6 +30,7 @@
     exchange_once,
     new_request,
     run_exchange,
+    run_exchanger,
 )
 from galenashift.model import Handle
 from galenashift.platform import Piece, StageAnswerError
@@ -249,6 +254,59 @@
         recent.decode_answer(body, pieces=pieces)
 
 
+def _stage_reply(*, status=200, items):
+    body = json.dumps({"items": items}).encode()
+    not_executed = b"" if status == 200 else b"Galenashift-Not-Executed: 1\r\n"
+    head = b"HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n"
+    return head % (status, not_executed, len(body)) + body
+
+
+_RESULTS = tuple(
+    _stage_reply(items=[{"handle": f"10.0.0.1:80/h{number}"}]) for number in range(2)
+)
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        _stage_reply(items=[{"reason": "error"}]),
+        _stage_reply(items=[{"reason": "room"}]),
+        _stage_reply(status=503, items=[]),
+        _stage_reply(items=[]),
+    ],
+    ids=["error", "room", "refused", "malformed"],
+)
+def test_late_copy_of_a_stage_answer_without_results_shifts_no_results(first):
+    # Guards against requests that get the results of another one: the copy was taken
+    # for the answer to the next call, whose own answer then met the call after it.
+    upstream = Upstream(
+        ("read", first, "read", first + _RESULTS[0], "read", _RESULTS[1]),
+        ("read", _RESULTS[0], "read", _RESULTS[1]),
+    )
+
+    async def scenario(exchanger, registration):
+        caller = StageCaller(exchanger=exchanger, clock=lambda: 0.0)
+        known = KnownUpstream(
+            registration=registration, received_at_s=0.0, cold_until_s=0.0
+        )
+        results = []
+        for name in ("a1", "a2", "a3"):
+            ref = PieceRef(job=new_job(name), index=0)
+            batch = Batch(upstream_id=registration.upstream_id, pieces=(ref,))
+            outcome = await caller.call(known, batch, expected_s=0.5)
+            if not isinstance(outcome, Answered):
+                continue
+            with contextlib.suppress(StageAnswerError):
+                (result,) = caller.decode_answer(batch, outcome.body)
+                results.append(result)
+                if isinstance(result, str):
+                    caller.remember(result, ref)
+        return results
+
+    results = run_exchanger(upstream, scenario)
+    assert results[-2:] == ["10.0.0.1:80/h0", "10.0.0.1:80/h1"]
+
+
 def test_remembered_handles_are_bounded():
     recent = RecentHandles()
     for number in range(MAX_HANDLES + 10):
