Answer a stream that is complete without an event

Cause: the head of a stream reached its writer with the first data only; at the end of an answer without data, an assertion failed there and ended the connection. Change: the head of a complete answer without data is handed to the writer as well. Such an answer clears no suspect of a crash, since nothing was written. The deadline of stream events moves to the module of times, to keep the module of exchanges short. Conclusion: every complete answer has a head by the time it is finished.

--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -74,6 +74,8 @@
     def complete(self, job: ActiveRequest, *, began_at_s: float) -> None:
         """Clear what a request contains, as an upstream answered it completely.
 
+        A stream without an event is no such answer.
+
         :param began_at_s: Boot-time clock from which on the answer was written, or an
             earlier one, in seconds.
         """
--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -24,6 +24,7 @@
     UpstreamConnection,
 )
 from ._pool import ConnectionPool
+from ._times import next_event_deadline_s
 from ._upstream_limits import UpstreamLimiter
 
 #: Largest answer to an earlier request that is read and skipped, in bytes.
@@ -248,22 +249,6 @@
         return outcome, reusable
 
 
-def next_event_deadline_s(
-    *, deadline_s: float, event_ended: bool, event_gap_s: float, now_s: float
-) -> float:
-    """Return when a stream times out, after some of its data has been handled.
-
-    Only a complete event counts as progress, so a stream that sends single bytes of an
-    event times out like one that sends nothing.
-
-    :param deadline_s: Current deadline, in seconds.
-    :param event_ended: Whether the data completed an event.
-    :param event_gap_s: Longest time between the ends of two events, in seconds.
-    :param now_s: Time at which the data was forwarded, on the same clock.
-    """
-    return now_s + event_gap_s if event_ended else deadline_s
-
-
 class _Reader:
     """Reads the answer to one request.
 
@@ -383,6 +368,10 @@
                 now_s=trio.current_time(),
             )
         self._check_end(head)
+        if not self._has_data:
+            # The caller gets the head, for example of a stream that it resumes after
+            # the last event.
+            await sink(head, b"")
         self.fully_read = True
         return StreamEnded(complete=True, started=self._started, detail="")
 
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -348,8 +348,9 @@
                     self._crash_policy.complete(job, began_at_s=writer.began_at_s)
                 await _deliver(responder, outcome)
                 return None
-            case StreamEnded(complete=True):
-                self._crash_policy.complete(job, began_at_s=writer.began_at_s)
+            case StreamEnded(complete=True, started=started):
+                if started:
+                    self._crash_policy.complete(job, began_at_s=writer.began_at_s)
                 await writer.finish()
                 return None
             case Broken() | Silent() | StreamEnded():
--- a/galenashift/gateway/_times.py
+++ b/galenashift/gateway/_times.py
@@ -58,3 +58,19 @@
         """
         wait, at_s = self._waits.get(service, (_NO_WAIT, 0.0))
         return wait if now_s - at_s < _MAX_WAIT_AGE_S else _NO_WAIT
+
+
+def next_event_deadline_s(
+    *, deadline_s: float, event_ended: bool, event_gap_s: float, now_s: float
+) -> float:
+    """Return when a stream times out, after some of its data has been handled.
+
+    Only a complete event counts as progress, so a stream that sends single bytes of an
+    event times out like one that sends nothing.
+
+    :param deadline_s: Current deadline, in seconds.
+    :param event_ended: Whether the data completed an event.
+    :param event_gap_s: Longest time between the ends of two events, in seconds.
+    :param now_s: Time at which the data was forwarded, on the same clock.
+    """
+    return now_s + event_gap_s if event_ended else deadline_s
--- a/galenashift/gateway/tests/test_broken_answers.py
+++ b/galenashift/gateway/tests/test_broken_answers.py
@@ -81,6 +81,38 @@
 }
 
 
+@pytest.mark.parametrize(
+    "script",
+    [
+        (CHUNKED_HEAD, b"0\r\n\r\n"),
+        (CHUNKED_HEAD + b"0\r\n\r\n",),
+        (
+            CHUNKED_HEAD.replace(b"Transfer-Encoding: chunked", b"Content-Length: 0"),
+            "hang",
+        ),
+    ],
+    ids=["chunks", "at once", "length"],
+)
+def test_complete_stream_without_an_event_is_answered(script):
+    # Guards against callers that resume a stream after its last event, and whose
+    # connection was closed without an answer as no data came with the head.
+    responder = FakeResponder()
+    writer = StreamWriter(responder=responder, last_id="9", memory=new_memory())
+
+    async def scenario(exchange):
+        outcome = await exchange(
+            request=new_request(), sink=writer.forward, is_whole=writer.is_whole
+        )
+        await writer.finish()
+        return outcome
+
+    outcome = run_exchange(Upstream(("read", *script)), scenario)
+    assert outcome == StreamEnded(complete=True, started=False, detail="")
+    assert responder.status == 200
+    assert responder.finished
+    assert responder.body == b""
+
+
 @pytest.mark.parametrize(
     ("script", "forwarded", "whole"), STREAMS.values(), ids=STREAMS
 )
--- a/galenashift/gateway/tests/test_faulty_answers.py
+++ b/galenashift/gateway/tests/test_faulty_answers.py
@@ -14,11 +14,11 @@
     Refused,
     Silent,
     StreamEnded,
-    next_event_deadline_s,
 )
 from galenashift.gateway._recent_handles import MAX_HANDLES, RecentHandles
 from galenashift.gateway._stage_call import StageCaller
 from galenashift.gateway._stage_job import Batch, PieceRef
+from galenashift.gateway._times import next_event_deadline_s
 from galenashift.gateway._view import KnownUpstream
 from galenashift.gateway.tests.factories import new_job, new_memory
 from galenashift.gateway.tests.test_exchange import (
