Decide on causes of crashes only when their evidence changes

Cause: with requests whose answers had begun as suspects, a decision takes longer, and each completed request that cleared any suspect led to a new one. Change: clearing a suspect with fewer crashes than a cause has changes no decision, so none follows. After the first count, only suspects that may be causes are counted again.

--- a/galenashift/gateway/_times.py
+++ b/galenashift/gateway/_times.py
@@ -1,4 +1,4 @@
-"""Expected latencies of services, estimated from their answers."""
+"""Expected latencies of services, and deadlines of the events of streams."""
 
 from dataclasses import dataclass
 
--- a/galenashift/retries/_crash_causes.py
+++ b/galenashift/retries/_crash_causes.py
@@ -44,33 +44,28 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class _Candidate:
-    suspect: SuspectId
-    crashes: SuspectedCrashes
-    proven: bool
-    quarantined: bool
-
-    @property
-    def weight(self) -> int:
+class _Evidence:
+    """What else is known of suspects, see `find_causes`."""
+
+    proven: Collection[SuspectId]
+    quarantined: Collection[SuspectId]
+
+    def may_be_cause(self, suspect: SuspectId, crashes: SuspectedCrashes) -> bool:
+        """Tell whether a suspect explains what no better one explains."""
+        if suspect in self.quarantined:
+            return True
+        return crashes.may_be_cause(proven=suspect in self.proven)
+
+    def rank(
+        self, suspect: SuspectId, crashes: SuspectedCrashes
+    ) -> tuple[bool, int, int, int, SuspectId]:
+        """Return the order in which suspects that may be causes are taken."""
+        is_proven = suspect in self.proven
         # Requests with a quarantined part do not run and add no more crashes. A request
         # is only one of those with its parts, so a part with more crashes replaces it.
-        bonus = self.quarantined and self.crashes.depth < REQUEST_DEPTH
-        return self.crashes.total - self.proven + bonus
-
-    @property
-    def is_cause(self) -> bool:
-        """Whether the suspect explains what no better candidate explains."""
-        return self.quarantined or self.crashes.may_be_cause(proven=self.proven)
-
-    @property
-    def rank(self) -> tuple[bool, int, int, int, SuspectId]:
-        return (
-            not self.proven,
-            self.weight,
-            -self.crashes.begun,
-            self.crashes.depth,
-            self.suspect,
-        )
+        bonus = suspect in self.quarantined and crashes.depth < REQUEST_DEPTH
+        weight = crashes.total - is_proven + bonus
+        return not is_proven, weight, -crashes.begun, crashes.depth, suspect
 
 
 def find_causes(
@@ -93,39 +88,46 @@
     :param quarantined: Suspects that are quarantined. They stay so while one crash has
         no other explanation.
     """
+    evidence = _Evidence(proven=proven, quarantined=quarantined)
     causes: set[SuspectId] = set()
     unexplained = list(crashes)
+    count_by_suspect = _count_by_suspect(unexplained)
     while True:
-        candidates = [
-            _Candidate(
-                suspect=suspect,
-                crashes=crashes_of_suspect,
-                proven=suspect in proven,
-                quarantined=suspect in quarantined,
-            )
-            for suspect, crashes_of_suspect in _count_by_suspect(unexplained).items()
-        ]
-        possible = [each for each in candidates if each.is_cause]
-        if not possible:
+        # A suspect with too few crashes gets no more of them in the next round.
+        candidates = {
+            suspect: count
+            for suspect, count in count_by_suspect.items()
+            if evidence.may_be_cause(suspect, count)
+        }
+        if not candidates:
             return causes
-        cause = max(possible, key=lambda candidate: candidate.rank).suspect
+        cause, _ = max(candidates.items(), key=lambda item: evidence.rank(*item))
         causes.add(cause)
         unexplained = [crash for crash in unexplained if cause not in crash]
+        count_by_suspect = _count_by_suspect(unexplained, among=candidates)
 
 
 def _count_by_suspect(
-    crashes: Sequence[CrashSuspects],
+    crashes: Sequence[CrashSuspects], *, among: Collection[SuspectId] | None = None
 ) -> dict[SuspectId, SuspectedCrashes]:
+    """Count the crashes of all suspects, or of some."""
     count_by_suspect: dict[SuspectId, SuspectedCrashes] = {}
+
+    def count_of(suspect: SuspectId, depth: int) -> SuspectedCrashes | None:
+        if among is not None and suspect not in among:
+            return None
+        count = count_by_suspect.get(suspect)
+        if count is None:
+            count = count_by_suspect[suspect] = SuspectedCrashes(depth=depth)
+        return count
+
     for crash in crashes:
         for suspect, depth in crash.not_begun.items():
-            count = count_by_suspect.setdefault(suspect, SuspectedCrashes())
-            count.depth = depth
-            count.not_begun += 1
+            if (count := count_of(suspect, depth)) is not None:
+                count.not_begun += 1
         for suspect, depth in crash.begun.items():
             if suspect in crash.not_begun:
                 continue
-            count = count_by_suspect.setdefault(suspect, SuspectedCrashes())
-            count.depth = depth
-            count.begun += 1
+            if (count := count_of(suspect, depth)) is not None:
+                count.begun += 1
     return count_by_suspect
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -304,10 +304,13 @@
 
     def _clear(self, suspect: SuspectId, *, before_s: float) -> None:
         """Clear a suspect of the crashes before a time."""
+        # Fewer crashes of a suspect that is no cause change no decision.
+        may_change = self._count(suspect).total >= CRASHES_OF_CAUSE
+        may_change = may_change or suspect in self._quarantine_by_suspect
         for crash in self._crash_by_id.values():
             if crash.recorded_at_s <= before_s and crash.names(suspect):
                 crash.clear(suspect)
-                self._is_decided = False
+                self._is_decided = self._is_decided and not may_change
 
     def _take_clearance(self, suspect: SuspectId) -> Clearance | None:
         """Return what other daemons do not know of a suspect, if it matters to them.
