Close only the connection of a stage answer without results

Cause: all idle connections to a stage upstream were closed, also after calls that were not sent or not answered, whose connections are closed anyway. Under load these are many, and an upstream has few connections and slots. Change: the connection that was released last is closed, after refusals and answers that hold reasons alone.

--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -151,6 +151,13 @@
         """Close the idle connections to an upstream whose answers are out of order."""
         self._pool.drop(upstream_id)
 
+    def close_last(self, upstream_id: UpstreamId) -> None:
+        """Close the connection of the exchange that has just ended, if it is idle.
+
+        Call it before the next wait, or another exchange may have been the last.
+        """
+        self._pool.drop_last(upstream_id)
+
     async def exchange(
         self,
         *,
--- a/galenashift/gateway/_pool.py
+++ b/galenashift/gateway/_pool.py
@@ -67,6 +67,12 @@
         else:
             connection.close()
 
+    def drop_last(self, upstream_id: UpstreamId) -> None:
+        """Close the idle connection that was released last, if any."""
+        idle = self._idle_by_id.get(upstream_id)
+        if idle:
+            idle.pop().close()
+
     def drop(self, upstream_id: UpstreamId) -> None:
         """Close the idle connections to an upstream."""
         for connection in self._idle_by_id.pop(upstream_id, []):
--- a/galenashift/gateway/_stage_call.py
+++ b/galenashift/gateway/_stage_call.py
@@ -10,7 +10,7 @@
     encode_run,
 )
 
-from ._exchange import Answered, Exchanger, ExchangeTimeouts, Outcome
+from ._exchange import Answered, Exchanger, ExchangeTimeouts, Outcome, Refused
 from ._recent_handles import RecentHandles
 from ._stage_job import Batch, PieceRef
 from ._stage_upstream import stage_request
@@ -53,8 +53,8 @@
             request=request,
             timeouts=ExchangeTimeouts(first_byte_s=wait_s, event_gap_s=wait_s),
         )
-        if not _has_results(outcome):
-            self._exchanger.close_idle(batch.upstream_id)
+        if _is_refusal(outcome):
+            self._exchanger.close_last(batch.upstream_id)
         return outcome
 
     def decode_answer(
@@ -76,7 +76,7 @@
             self._exchanger.close_idle(batch.upstream_id)
             raise
         if all(isinstance(each, PieceProblem) for each in results):
-            self._exchanger.close_idle(batch.upstream_id)
+            self._exchanger.close_last(batch.upstream_id)
         return results
 
     def remember(self, handle: Handle, ref: PieceRef) -> None:
@@ -84,5 +84,11 @@
         self._recent_handles.add(handle, ref.piece)
 
 
-def _has_results(outcome: Outcome) -> bool:
-    return isinstance(outcome, Answered) and outcome.head.status == _OK
+def _is_refusal(outcome: Outcome) -> bool:
+    match outcome:
+        case Refused():
+            return True
+        case Answered(head=head):
+            return head.status != _OK
+        case _:
+            return False
--- a/galenashift/gateway/tests/test_stage_scheduler.py
+++ b/galenashift/gateway/tests/test_stage_scheduler.py
@@ -62,6 +62,9 @@
     def close_idle(self, upstream_id):
         self.closed.append(upstream_id)
 
+    def close_last(self, upstream_id):
+        self.closed.append(upstream_id)
+
     async def exchange(self, *, upstream, request, timeouts, sink=None, may_send=None):
         body = json.loads(request.body)
         if "handles" in body:
