Repeat requests after crashes whose streams alone had their part

Callers would see: 502 without a second attempt, for a request whose upstream crashed before the answer began. Cause: with streams that had begun as suspects, a common part reaches the two crashes from which a request is not repeated after two plain crashes. Change: for a request whose answer had not begun, only crashes at which other such requests had the part count. Streams that had begun still wait for the probe of their crash. Conclusion: quarantines are decided as before; only second attempts change.

--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -92,8 +92,10 @@
         if suspicion is None or not job.route.repeatable:
             return False
         had_begun = not suspicion.suspects.not_begun
-        if had_begun and not self._crashes.is_suspected(job.suspects):
+        if had_begun and not self._crashes.is_suspected(job.suspects, had_begun=True):
             return False
         with trio.move_on_after(_EXAMINATION_TIMEOUT_S):
             await suspicion.examined.wait()
-        return not had_begun and self._crashes.is_suspected(job.suspects)
+        if had_begun:
+            return False
+        return self._crashes.is_suspected(job.suspects, had_begun=False)
--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -182,9 +182,16 @@
             self._report(crash_id, kept)
         return quarantine
 
-    def is_suspected(self, suspects: Mapping[SuspectId, int]) -> bool:
-        """Tell whether one more crash could quarantine a request."""
-        return self._evidence.is_suspected(suspects, now_s=self._clock())
+    def is_suspected(
+        self, suspects: Mapping[SuspectId, int], *, had_begun: bool
+    ) -> bool:
+        """Tell whether one more crash could quarantine a request.
+
+        :param had_begun: Whether its answer had begun.
+        """
+        return self._evidence.is_suspected(
+            suspects, had_begun=had_begun, now_s=self._clock()
+        )
 
     def suspect(self, suspicion: Suspicion) -> None:
         """Queue a probe of the upstream whose connection broke."""
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -226,12 +226,21 @@
             if suspect in self._quarantine_by_suspect
         )
 
-    def is_suspected(self, suspects: Collection[SuspectId], *, now_s: float) -> bool:
-        """Tell whether one more crash could quarantine a suspect of a request."""
+    def is_suspected(
+        self, suspects: Collection[SuspectId], *, had_begun: bool, now_s: float
+    ) -> bool:
+        """Tell whether one more crash could quarantine a suspect of a request.
+
+        :param had_begun: Whether its answer had begun. Otherwise, crashes at which only
+            such answers contained the suspect are left out: most of these requests are
+            bystanders, and their callers would lose the second attempt.
+        """
         proven = self._completed_at_s.since(now_s - _PROVEN_S)
         for suspect in suspects:
             count = self._count(suspect)
             count.not_begun += 1
+            if not had_begun:
+                count.begun = 0
             if count.may_be_cause(proven=suspect in proven):
                 return True
         return False
