Retrieve the results of all tasks of a stand-in

Cause: a connection that was reset left an unread exception, which Python prints. Change: both tasks of a request are awaited.

--- a/review/tools_2/fleet.py
+++ b/review/tools_2/fleet.py
@@ -244,15 +244,11 @@
                 return
             finally:
                 work.cancel()
-                if not ended.done():
-                    ended.cancel()
-                    with contextlib.suppress(asyncio.CancelledError):
-                        await ended
-            ahead = b""
-            if not ended.cancelled():
-                ahead = ended.result()
-                if not ahead:
-                    return
+                ended.cancel()
+                await asyncio.gather(work, ended, return_exceptions=True)
+            ahead = b"" if ended.cancelled() else ended.result()
+            if not ended.cancelled() and not ahead:
+                return
 
 
 async def read_request(
