--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,12 +3,13 @@
 import asyncio
 import random
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "tools_2"))
+sys.path.insert(0, str(FOLDER.parent))
 
-from fleet import (  # noqa: E402
+from kit_2 import (  # noqa: E402
     ZONES,
     Client,
     Engine,
@@ -17,6 +18,7 @@
     Reply,
     Request,
     Send,
+    Work,
     encode_answer,
     main,
     make_config,
@@ -25,23 +27,32 @@
     request_headers,
 )
 
-#: Engines of the service; one of them is grey, a share of 0.14.
-ENGINES = 7
-#: Share of its requests that the grey engine fails after it has run them.
+#: Engines of the service; one of them is grey, a share of 0.125.
+ENGINES = 8
+#: Largest share of its requests that the grey engine fails after it has run them.
 FAILED_SHARE = 0.4
+#: Time for which it is grey, from its first request on, in seconds.
+GREY_S = 6.0
 REQUESTS = 150
 DEADLINE_MS = 1500
 
 
-def grey_work(seed: int) -> object:
-    """Return work of which a share fails after it was done."""
-    draw = random.Random(seed)
+def grey_work() -> Work:
+    """Return work of which a share fails after it was done, for some time."""
     sound = plain_work(0.015)
+    began_at_s: list[float] = []
+    #: Requests so far, and those that failed.
+    counts = {"all": 0, "failed": 0}
 
     async def work(engine: Engine, request: Request, send: Send) -> None:
-        if draw.random() >= FAILED_SHARE:
+        now_s = time.monotonic()
+        began_at_s.append(now_s)
+        counts["all"] += 1
+        may_fail = counts["failed"] + 1 <= FAILED_SHARE * counts["all"]
+        if not may_fail or now_s > began_at_s[0] + GREY_S:
             await sound(engine, request, send)
             return
+        counts["failed"] += 1
         await asyncio.sleep(0.015)
         attempt = request.headers["galenashift-attempt-id"]
         engine.record.write(f"{engine.engine_id} fails {attempt} after its work: 503")
@@ -83,7 +94,7 @@
             engine_id=f"i-{index}",
             service="sync-core",
             zone=ZONES[index % len(ZONES)],
-            work=grey_work(7) if grey else plain_work(0.015),
+            work=grey_work() if grey else plain_work(0.015),
             record=record,
         )
         fleet.engines.append(engine)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "tools_2"))
+sys.path.insert(0, str(FOLDER.parent))
 
-from fleet import (  # noqa: E402
+from kit_2 import (  # noqa: E402
     GRACE_S,
     ZONES,
     Client,
--- a/review/tools_2/fleet.py
+++ b/review/kit_2.py
@@ -23,7 +23,7 @@
 from pathlib import Path
 from typing import Any
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 #: Longest run of a case, in seconds.
 LONGEST_S = 110.0
 
@@ -917,12 +917,17 @@
     record.say(f"with the disruption: {trouble}")
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # The daemons are ended, too, if the case is ended from outside.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(LONGEST_S):
             return await scenario(record, trouble)
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.say(f"could not run: {error!r}")
         sys.exit(2)
     record.say("the rule held" if held else "the rule was broken")
