--- a/galenashift/gateway/_drain_admission.py
+++ b/galenashift/gateway/_drain_admission.py
@@ -10,8 +10,12 @@
 
 #: Time for which the duration of an answer is taken into account, in seconds.
 _DURATION_WINDOW_S = 60.0
-#: Allowance for answers that take longer than all recent ones, as a factor.
-_DURATION_MARGIN = 1.25
+#: Allowance for answers that take longer than all recent ones, as a factor. The answers
+#: of a route may differ several times in length.
+_DURATION_MARGIN = 4.0
+#: Recent answers of a route from which the duration of the next one is inferred, at
+#: least.
+_MIN_ANSWERS = 20
 #: Most durations that are kept for a route.
 _MAX_DURATIONS = 64
 #: ``Retry-After`` of a refused request, in seconds. A new connection of the caller
@@ -26,6 +30,8 @@
         #: Answers of each route with the time of their end. Each one is longer than
         #: those after it.
         self._ended_by_route: dict[RouteName, deque[tuple[float, float]]] = {}
+        #: Times at which the last `_MIN_ANSWERS` answers of each route ended.
+        self._last_by_route: dict[RouteName, deque[float]] = {}
 
     def record(self, route: RouteName, duration_s: float, *, now_s: float) -> None:
         """Add the duration of a complete answer.
@@ -38,12 +44,20 @@
             ended.pop()
         if len(ended) < _MAX_DURATIONS:
             ended.append((now_s, duration_s))
+        last = self._last_by_route.setdefault(route, deque(maxlen=_MIN_ANSWERS))
+        last.append(now_s)
 
     def longest_s(self, route: RouteName, *, now_s: float) -> float | None:
-        """Return the duration of the longest recent answer in seconds, if any.
+        """Return the duration of the longest recent answer in seconds.
 
         :param now_s: Boot-time clock, in seconds.
+        :returns: None if there are fewer recent answers than `_MIN_ANSWERS`.
         """
+        last = self._last_by_route.get(route)
+        if last is None or len(last) < _MIN_ANSWERS:
+            return None
+        if now_s - last[0] > _DURATION_WINDOW_S:
+            return None
         ended = self._recent(route, now_s)
         return ended[0][1] if ended else None
 
--- a/galenashift/gateway/tests/test_drain_admission.py
+++ b/galenashift/gateway/tests/test_drain_admission.py
@@ -21,28 +21,34 @@
 
 
 @pytest.mark.parametrize(
-    ("at_s", "longest_s", "wait_s", "accepted"),
+    ("at_s", "answers", "longest_s", "wait_s", "accepted"),
     [
         # The load balancer still sends connections.
-        (101.0, None, 20.0, True),
-        (102.9, 10.0, 20.0, True),
-        # All recent answers fit into the time that is left, or not.
-        (104.0, 2.0, 20.0, True),
-        (104.0, 4.0, 20.0, False),
-        (107.5, 0.02, 20.0, True),
-        # Unknown, or bounded by the deadline.
-        (104.0, None, 20.0, False),
-        (104.0, None, 3.0, True),
-        (104.0, 10.0, 3.0, True),
-        (107.7, 0.02, 1.0, False),
+        (101.0, 0, 0.0, 20.0, True),
+        (102.9, 40, 10.0, 20.0, True),
+        # The next answer may last several times as long as all recent ones.
+        (104.0, 40, 0.8, 20.0, True),
+        (104.0, 40, 2.0, 20.0, False),
+        (104.0, 40, 4.0, 20.0, False),
+        (107.5, 40, 0.02, 20.0, True),
+        # A few answers say little about the next one.
+        (104.0, 0, 0.0, 20.0, False),
+        (104.0, 4, 0.02, 20.0, False),
+        (104.0, 19, 0.02, 20.0, False),
+        (104.0, 20, 0.02, 20.0, True),
+        # No answer ends later than its deadline.
+        (104.0, 0, 0.0, 3.0, True),
+        (104.0, 40, 10.0, 3.0, True),
+        (107.7, 40, 0.02, 1.0, False),
     ],
 )
 def test_request_is_refused_if_its_answer_may_not_end_in_time(
-    at_s, longest_s, wait_s, accepted
+    at_s, answers, longest_s, wait_s, accepted
 ):
     # It would be cut at the end of the grace period, after an upstream had executed it.
+    # Streams of 95 events were, after the daemon had seen four of 29 events.
     admission = DrainAdmission(drain_period=lambda: PERIOD)
-    if longest_s is not None:
+    for _ in range(answers):
         done = new_job(arrived_at_s=90.0, deadline_s=200.0)
         admission.record_answer(done, now_s=90.0 + longest_s)
     job = new_job(arrived_at_s=at_s, deadline_s=at_s + wait_s)
@@ -63,8 +69,10 @@
 def test_longest_duration_is_that_of_the_last_minute():
     # One slow answer must not have requests refused for ever.
     durations = RouteDurations()
-    for at_s, duration_s in [(0.0, 9.0), (10.0, 1.0), (20.0, 4.0), (30.0, 2.0)]:
+    for at_s, duration_s in [(0.0, 9.0), (10.0, 1.0), (20.0, 4.0)]:
         durations.record(ROUTE, duration_s, now_s=at_s)
+    for _ in range(20):
+        durations.record(ROUTE, 2.0, now_s=30.0)
     found = [durations.longest_s(ROUTE, now_s=at_s) for at_s in (30, 61, 81, 91)]
     assert found == [9.0, 4.0, 2.0, None]
     # Ever shorter answers fill the record, and must make room when they are old.
