Move the outcomes of exchanges to a module of their own

Change: `_outcomes.py` has `NotSent`, `Refused`, `Answered`, `StreamEnded`, `Broken`, `Silent` and `Outcome`. No behaviour changes.

--- a/bench/_stage_upstreams.py
+++ b/bench/_stage_upstreams.py
@@ -10,13 +10,12 @@
 import trio
 
 from galenashift.gateway._connection import AnswerHead
-from galenashift.gateway._exchange import (
+from galenashift.gateway._exchange import ExchangeTimeouts, OutgoingRequest
+from galenashift.gateway._outcomes import (
     Answered,
     Broken,
-    ExchangeTimeouts,
     NotSent,
     Outcome,
-    OutgoingRequest,
     Refused,
     Silent,
 )
--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -6,8 +6,8 @@
 from galenashift.retries import Quarantine
 
 from ._crashes import CrashGuard, Trial
-from ._exchange import Broken, Outcome, StreamEnded
 from ._failures import quarantine_failure
+from ._outcomes import Broken, Outcome, StreamEnded
 from ._request import ActiveRequest
 from ._unconfirmed_crashes import Suspicion
 
--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -23,6 +23,7 @@
     ConnectionFailed,
     UpstreamConnection,
 )
+from ._outcomes import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
 from ._pool import ConnectionPool
 from ._times import next_event_deadline_s
 from ._upstream_limits import UpstreamLimiter
@@ -57,64 +58,6 @@
         return None if self.attempt_id is None else RequestId(self.attempt_id)
 
 
-@dataclass(frozen=True, kw_only=True)
-class NotSent:
-    """No byte of the request was sent."""
-
-    detail: str
-    #: Whether the upstream has stated that it accepts no request now.
-    limited: bool = False
-
-
-@dataclass(frozen=True, kw_only=True)
-class Refused:
-    """The upstream reports that it did not execute the request."""
-
-    status: int
-    fields: AnswerFields
-    #: Whether another upstream now uses the address (status 421).
-    misdirected: bool
-
-
-@dataclass(frozen=True, kw_only=True)
-class Answered:
-    """A complete answer that is not a stream."""
-
-    head: AnswerHead
-    fields: AnswerFields
-    body: bytes
-
-
-@dataclass(frozen=True, kw_only=True)
-class StreamEnded:
-    """A stream whose events were forwarded to the caller as they arrived."""
-
-    #: Whether the upstream marked the end of the stream.
-    complete: bool
-    #: Whether any data was forwarded to the caller.
-    started: bool
-    detail: str
-
-
-@dataclass(frozen=True, kw_only=True)
-class Broken:
-    """The request was sent and no complete answer was received."""
-
-    detail: str
-    #: See `ConnectionFailed`.
-    reset: bool
-
-
-@dataclass(frozen=True, kw_only=True)
-class Silent:
-    """The request was sent and the answer timed out."""
-
-    #: Whether a part of a stream was forwarded to the caller.
-    started: bool = False
-
-
-Outcome = NotSent | Refused | Answered | StreamEnded | Broken | Silent
-
 #: Receives the head and the next data of a stream; returns whether an event ended.
 StreamSink = Callable[[AnswerHead, bytes], Awaitable[bool]]
 
--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -3,7 +3,7 @@
 from galenashift.model import Failure, Reason, Verdict, may_have_run, not_run
 from galenashift.retries import Quarantine
 
-from ._exchange import Broken, Outcome, Silent, StreamEnded
+from ._outcomes import Broken, Outcome, Silent, StreamEnded
 from ._router import LimitWait
 from ._stage_outcome import StageFailed, StageProblem
 
--- a/galenashift/gateway/_hedge_race.py
+++ b/galenashift/gateway/_hedge_race.py
@@ -9,7 +9,7 @@
 from galenashift.model import Handle, UpstreamId, Verdict
 
 from ._caller import CallerGone
-from ._exchange import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
+from ._outcomes import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
 from ._request import ActiveRequest
 from ._router import Choice
 from ._sent_request import SendRequest, SentRequest
--- a/galenashift/gateway/_hedge_selector.py
+++ b/galenashift/gateway/_hedge_selector.py
@@ -8,7 +8,7 @@
 from galenashift.model import ServiceName
 from galenashift.retries import ServiceCapacity
 
-from ._exchange import Outcome, Refused
+from ._outcomes import Outcome, Refused
 from ._request import ActiveRequest
 from ._router import Choice, Router
 from ._upstream_selector import UpstreamSelector
--- a/galenashift/gateway/_hedged_exchange.py
+++ b/galenashift/gateway/_hedged_exchange.py
@@ -18,11 +18,11 @@
 from galenashift.telemetry import EventLog, Metrics
 
 from ._crash_policy import CrashPolicy
-from ._exchange import Outcome, Silent
 from ._health import HealthTracker
 from ._hedge_log import HedgeLog, HedgeResult
 from ._hedge_race import ConcurrentExchange, HedgeRace
 from ._hedge_selector import HedgeSelector
+from ._outcomes import Outcome, Silent
 from ._request import ActiveRequest
 from ._retry_budgets import RetryBudgets
 from ._router import Choice, Router
--- a/galenashift/gateway/_outcome_recorder.py
+++ b/galenashift/gateway/_outcome_recorder.py
@@ -2,8 +2,8 @@
 
 from galenashift.model import ServiceName, UpstreamId
 
-from ._exchange import Answered, NotSent, Outcome, Refused, StreamEnded
 from ._health import HealthTracker
+from ._outcomes import Answered, NotSent, Outcome, Refused, StreamEnded
 from ._request_inputs import reports_lost_input
 from ._stream import StreamWriter
 from ._times import ServiceLatencies
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -20,16 +20,7 @@
 from ._crash_policy import CrashPolicy
 from ._crashes import CrashGuard
 from ._drain_admission import DrainAdmission
-from ._exchange import (
-    Answered,
-    Broken,
-    Exchanger,
-    NotSent,
-    Outcome,
-    Refused,
-    Silent,
-    StreamEnded,
-)
+from ._exchange import Exchanger
 from ._failures import (
     broken_failure,
     no_upstream_failure,
@@ -41,6 +32,7 @@
 from ._hedged_exchange import HedgedExchange
 from ._open_requests import OpenRequests
 from ._outcome_recorder import OutcomeRecorder
+from ._outcomes import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
 from ._outgoing import outgoing_request
 from ._request import ActiveRequest, decode_fields, resolve_request
 from ._request_inputs import RequestInputs
--- a/galenashift/gateway/_request.py
+++ b/galenashift/gateway/_request.py
@@ -24,7 +24,7 @@
 
 from ._caller import CallerRequest
 from ._crashes import fingerprint
-from ._exchange import Answered
+from ._outcomes import Answered
 from ._suspects import part_suspects, request_suspect
 
 #: Time before the route's timeout at which the daemon answers itself, in seconds.
--- a/galenashift/gateway/_request_inputs.py
+++ b/galenashift/gateway/_request_inputs.py
@@ -6,7 +6,7 @@
 from galenashift.model import Handle
 from galenashift.telemetry import EventLog, Metrics
 
-from ._exchange import Outcome, Refused
+from ._outcomes import Outcome, Refused
 from ._request import ActiveRequest
 from ._stage_outcome import StageFailed
 from ._stage_run import RETRYABLE_PROBLEMS, StageRun
--- a/galenashift/gateway/_request_log.py
+++ b/galenashift/gateway/_request_log.py
@@ -8,15 +8,7 @@
 from galenashift.telemetry import EventLog, Metrics
 
 from ._caller import CallerRequest, Responder
-from ._exchange import (
-    Answered,
-    Broken,
-    NotSent,
-    Outcome,
-    Refused,
-    Silent,
-    StreamEnded,
-)
+from ._outcomes import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
 from ._request import ActiveRequest
 from ._router import Choice
 from ._stream import StreamWriter
--- a/galenashift/gateway/_rollout_calls.py
+++ b/galenashift/gateway/_rollout_calls.py
@@ -5,7 +5,7 @@
 from galenashift.model import RegisteredUpstream, RouteName, ServiceName
 from galenashift.rollouts import EvidenceKey, LocalRollout, Side
 
-from ._exchange import NotSent, Outcome, Refused
+from ._outcomes import NotSent, Outcome, Refused
 from ._rollout_answers import RolloutAnswers, is_new
 from ._view import KnownUpstream, PlatformView
 
--- a/galenashift/gateway/_rollout_requests.py
+++ b/galenashift/gateway/_rollout_requests.py
@@ -5,7 +5,7 @@
 from galenashift.model import RegisteredUpstream, ServiceName, UpstreamId
 from galenashift.rollouts import EvidenceKey, LocalRollout, size_class
 
-from ._exchange import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
+from ._outcomes import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
 from ._request import ActiveRequest
 from ._rollout_answers import RolloutAnswers, is_new
 from ._stream import StreamWriter
--- a/galenashift/gateway/_sent_request.py
+++ b/galenashift/gateway/_sent_request.py
@@ -5,7 +5,7 @@
 
 from galenashift.model import Handle
 
-from ._exchange import Outcome
+from ._outcomes import Outcome
 from ._request import ActiveRequest
 from ._router import Choice
 from ._stream import StreamWriter
--- a/galenashift/gateway/_stage_call.py
+++ b/galenashift/gateway/_stage_call.py
@@ -11,7 +11,8 @@
     encode_run,
 )
 
-from ._exchange import Answered, Exchanger, ExchangeTimeouts, Outcome, Refused
+from ._exchange import Exchanger, ExchangeTimeouts
+from ._outcomes import Answered, Outcome, Refused
 from ._recent_handles import RecentHandles
 from ._rollout_calls import RolloutCalls
 from ._stage_job import Batch, PieceRef
--- a/galenashift/gateway/_stage_log.py
+++ b/galenashift/gateway/_stage_log.py
@@ -5,7 +5,7 @@
 from galenashift.model import RequestId, ServiceName
 from galenashift.telemetry import EventLog, Metrics
 
-from ._exchange import Outcome
+from ._outcomes import Outcome
 from ._stage_job import Batch, StageJob
 from ._stage_outcome import StageProblem
 from ._stage_upstream import StageUpstreams
--- a/galenashift/gateway/_stage_results.py
+++ b/galenashift/gateway/_stage_results.py
@@ -8,7 +8,8 @@
 from galenashift.platform import FREE_PATH, encode_free, handle_address
 from galenashift.telemetry import EventLog
 
-from ._exchange import Answered, Exchanger, ExchangeTimeouts
+from ._exchange import Exchanger, ExchangeTimeouts
+from ._outcomes import Answered
 from ._stage_upstream import StageUpstreams, stage_request
 from ._upstream_limits import UpstreamLimiter
 from ._view import KnownUpstream, PlatformView
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -13,16 +13,8 @@
 )
 from galenashift.telemetry import EventLog, Metrics
 
-from ._exchange import (
-    Answered,
-    Broken,
-    Exchanger,
-    NotSent,
-    Outcome,
-    Refused,
-    Silent,
-    StreamEnded,
-)
+from ._exchange import Exchanger
+from ._outcomes import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
 from ._rollout_calls import RolloutCalls
 from ._stage_call import StageCaller
 from ._stage_demand import StageDemand
--- a/galenashift/gateway/_stage_upstream.py
+++ b/galenashift/gateway/_stage_upstream.py
@@ -5,7 +5,8 @@
 from galenashift.model import Handle, PieceLimits, UpstreamId
 from galenashift.platform import expected_upstream_header
 
-from ._exchange import Answered, Outcome, OutgoingRequest, Refused
+from ._exchange import OutgoingRequest
+from ._outcomes import Answered, Outcome, Refused
 from ._slowness import ReportedSlowness, ReportLifetime
 from ._stage_plan import SMALL_RESULT_FRACTION
 from ._view import KnownUpstream
--- a/galenashift/gateway/tests/hedge_fakes.py
+++ b/galenashift/gateway/tests/hedge_fakes.py
@@ -6,7 +6,7 @@
 import trio
 
 from galenashift.gateway._connection import AnswerHead
-from galenashift.gateway._exchange import NotSent, Refused, Silent, StreamEnded
+from galenashift.gateway._outcomes import NotSent, Refused, Silent, StreamEnded
 from galenashift.gateway.tests.relay_fakes import (
     BROKEN,
     CONFIG,
--- a/galenashift/gateway/tests/relay_fakes.py
+++ b/galenashift/gateway/tests/relay_fakes.py
@@ -11,7 +11,8 @@
 from galenashift.gateway._cold_limiter import ColdUpstreamLimiter
 from galenashift.gateway._connection import AnswerHead
 from galenashift.gateway._drain_admission import DrainAdmission
-from galenashift.gateway._exchange import (
+from galenashift.gateway._health import HealthTracker
+from galenashift.gateway._outcomes import (
     Answered,
     Broken,
     NotSent,
@@ -19,7 +20,6 @@
     Silent,
     StreamEnded,
 )
-from galenashift.gateway._health import HealthTracker
 from galenashift.gateway._relay import Relay
 from galenashift.gateway._retry_budgets import RetryBudgets
 from galenashift.gateway._router import Router
--- a/galenashift/gateway/tests/test_broken_answers.py
+++ b/galenashift/gateway/tests/test_broken_answers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from galenashift.gateway._exchange import Broken, StreamEnded
+from galenashift.gateway._outcomes import Broken, StreamEnded
 from galenashift.gateway._stream import StreamWriter
 from galenashift.gateway.tests.factories import new_memory
 from galenashift.gateway.tests.relay_fakes import (
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -9,16 +9,8 @@
 import trio
 
 from galenashift.gateway._connection import UpstreamConnection
-from galenashift.gateway._exchange import (
-    Answered,
-    Broken,
-    Exchanger,
-    ExchangeTimeouts,
-    NotSent,
-    OutgoingRequest,
-    Refused,
-    Silent,
-)
+from galenashift.gateway._exchange import Exchanger, ExchangeTimeouts, OutgoingRequest
+from galenashift.gateway._outcomes import Answered, Broken, NotSent, Refused, Silent
 from galenashift.gateway._pool import ConnectionPool
 from galenashift.gateway.tests.factories import new_limiter, new_memory, registration_at
 
--- a/galenashift/gateway/tests/test_faulty_answers.py
+++ b/galenashift/gateway/tests/test_faulty_answers.py
@@ -8,13 +8,7 @@
 
 from galenashift.gateway._connection import AnswerEvicted, AnswerTooLarge
 from galenashift.gateway._event_parts import MAX_EVENT_BYTES, EventSplitter
-from galenashift.gateway._exchange import (
-    Answered,
-    Broken,
-    Refused,
-    Silent,
-    StreamEnded,
-)
+from galenashift.gateway._outcomes import Answered, Broken, Refused, Silent, StreamEnded
 from galenashift.gateway._recent_handles import MAX_HANDLES, RecentHandles
 from galenashift.gateway._stage_call import StageCaller
 from galenashift.gateway._stage_job import Batch, PieceRef
--- a/galenashift/gateway/tests/test_hedged_exchange.py
+++ b/galenashift/gateway/tests/test_hedged_exchange.py
@@ -6,7 +6,7 @@
 import pytest
 
 from galenashift.gateway._caller import CallerGone
-from galenashift.gateway._exchange import Answered
+from galenashift.gateway._outcomes import Answered
 from galenashift.gateway.tests.factories import (
     new_memory,
 )
--- a/galenashift/gateway/tests/test_held_back_exchanges.py
+++ b/galenashift/gateway/tests/test_held_back_exchanges.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from galenashift.gateway._exchange import Answered, NotSent
+from galenashift.gateway._outcomes import Answered, NotSent
 from galenashift.gateway.tests.test_exchange import (
     CHUNKED_HEAD,
     COMPLETE_ANSWER,
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from galenashift.gateway._exchange import NotSent, StreamEnded
+from galenashift.gateway._outcomes import NotSent, StreamEnded
 from galenashift.gateway._stage_outcome import StageFailed, StageProblem
 from galenashift.gateway.tests.factories import (
     draining_answer,
--- a/galenashift/gateway/tests/test_request_inputs.py
+++ b/galenashift/gateway/tests/test_request_inputs.py
@@ -3,9 +3,9 @@
 import pytest
 import trio
 
-from galenashift.gateway._exchange import NotSent, Refused, StreamEnded
 from galenashift.gateway._health import HealthTracker
 from galenashift.gateway._outcome_recorder import OutcomeRecorder
+from galenashift.gateway._outcomes import NotSent, Refused, StreamEnded
 from galenashift.gateway._stage_outcome import StageFailed, StageProblem, StageSucceeded
 from galenashift.gateway._stream import StreamWriter
 from galenashift.gateway._times import ServiceLatencies
--- a/galenashift/gateway/tests/test_request_spread.py
+++ b/galenashift/gateway/tests/test_request_spread.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from galenashift.gateway._exchange import NotSent
 from galenashift.gateway._health import HealthTracker
+from galenashift.gateway._outcomes import NotSent
 from galenashift.gateway._request_spread import RequestSpread, sender_upstreams
 from galenashift.gateway._router import Router
 from galenashift.gateway.tests.factories import new_upstream, pausing_answer
--- a/galenashift/gateway/tests/test_rollouts.py
+++ b/galenashift/gateway/tests/test_rollouts.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from galenashift.gateway._exchange import Broken, NotSent, Silent, StreamEnded
+from galenashift.gateway._outcomes import Broken, NotSent, Silent, StreamEnded
 from galenashift.gateway._rollout_view import ROLLOUT_CHANGED
 from galenashift.gateway._stage_call import StageCaller
 from galenashift.gateway._stage_job import Batch, PieceRef
--- a/galenashift/gateway/tests/test_slowness.py
+++ b/galenashift/gateway/tests/test_slowness.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from galenashift.gateway._exchange import Refused
 from galenashift.gateway._health import HealthTracker
 from galenashift.gateway._load_reports import LoadReports
+from galenashift.gateway._outcomes import Refused
 from galenashift.gateway._slowness import (
     ReportedSlowness,
     ReportLifetime,
--- a/galenashift/gateway/tests/test_stage_scheduler.py
+++ b/galenashift/gateway/tests/test_stage_scheduler.py
@@ -7,13 +7,7 @@
 import trio.testing
 
 from galenashift.gateway._connection import AnswerHead
-from galenashift.gateway._exchange import (
-    Answered,
-    Broken,
-    NotSent,
-    Refused,
-    Silent,
-)
+from galenashift.gateway._outcomes import Answered, Broken, NotSent, Refused, Silent
 from galenashift.gateway._stage_outcome import StageFailed, StageProblem, StageSucceeded
 from galenashift.gateway._stage_scheduler import StageScheduler
 from galenashift.gateway._view import PlatformView
--- a/galenashift/gateway/tests/test_streamed_exchange.py
+++ b/galenashift/gateway/tests/test_streamed_exchange.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from galenashift.gateway._exchange import Silent, StreamEnded
+from galenashift.gateway._outcomes import Silent, StreamEnded
 from galenashift.gateway.tests.test_exchange import (
     CHUNKED_HEAD,
     Upstream,
