Deliver no status of an upstream that would be a promise

Cause: callers logged habits twice. An upstream executed an action and failed it with 503, without stating that it had not executed it. The 503 was delivered; for a caller it is the promise that nothing has run, so that it came back with a new attempt. Ruled out: a second send by the daemon (each run has an attempt id of its own); a refusal that is misread (the verdict in the log is that the request has run). Change: an answer that is not marked as not executed and whose status is 408, 421, 429 or 503 is a failure. Repeatable requests are retried, and others get 502 with may-have-run and no signature. Hedged requests use the same property.

--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -67,6 +67,20 @@
             return may_have_run(reason=Reason.UPSTREAM_FAILED, detail="no answer")
 
 
+def undeliverable_failure(status: int) -> Failure:
+    """Return the failure of a request whose answer would be a false promise.
+
+    :param status: Status of the upstream's answer; see `Answered.is_deliverable`.
+    """
+    return may_have_run(
+        reason=Reason.UPSTREAM_FAILED,
+        detail=(
+            f"the upstream answered {status} without stating that it did not execute"
+            " the request"
+        ),
+    )
+
+
 def resume_failure(status: int) -> Failure:
     """Return the failure of a stream whose next upstream answered with an error.
 
--- a/galenashift/gateway/_hedge_race.py
+++ b/galenashift/gateway/_hedge_race.py
@@ -15,8 +15,6 @@
 from ._sent_request import SendRequest, SentRequest
 from ._stream import StreamWriter
 
-_SERVER_ERROR = 500
-
 #: Ranks of failures; the one with the lowest is reported if both exchanges fail.
 _SUSPICION_RANK = 0
 _RANK_BY_TYPE: dict[type[Outcome], int] = {
@@ -150,8 +148,8 @@
 def is_good(outcome: Outcome) -> bool:
     """Tell whether an outcome is an answer that no retry could improve."""
     match outcome:
-        case Answered(head=head):
-            return head.status < _SERVER_ERROR
+        case Answered():
+            return not outcome.is_failure
         case StreamEnded(complete=complete):
             return complete
         case _:
@@ -176,10 +174,8 @@
             job.unreachable.add(upstream_id)
         case Refused():
             pass
-        case Answered(head=head):
-            job.verdict = Verdict.RAN
-            if head.status >= _SERVER_ERROR:
-                job.fallback_answer = sent.outcome
+        case Answered():
+            job.record_answer(sent.outcome)
         case Broken() | Silent() | StreamEnded():
             _note_may_have_run(job)
 
--- a/galenashift/gateway/_outcomes.py
+++ b/galenashift/gateway/_outcomes.py
@@ -3,9 +3,12 @@
 from dataclasses import dataclass
 
 from galenashift.model import AnswerFields
+from galenashift.platform import promises_not_run
 
 from ._connection import AnswerHead
 
+_SERVER_ERROR = 500
+
 
 @dataclass(frozen=True, kw_only=True)
 class NotSent:
@@ -34,6 +37,20 @@
     fields: AnswerFields
     body: bytes
 
+    @property
+    def is_deliverable(self) -> bool:
+        """Whether the caller may get the answer.
+
+        Some statuses would tell it that the request was not executed, which the
+        upstream has not stated.
+        """
+        return not promises_not_run(self.head.status)
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether another upstream may do better."""
+        return self.head.status >= _SERVER_ERROR or not self.is_deliverable
+
 
 @dataclass(frozen=True, kw_only=True)
 class StreamEnded:
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -28,6 +28,7 @@
     resume_failure,
     stage_failure,
     timeout_failure,
+    undeliverable_failure,
 )
 from ._hedged_exchange import HedgedExchange
 from ._open_requests import OpenRequests
@@ -52,7 +53,6 @@
 from ._view import KnownUpstream, PlatformView
 
 _REDIRECTION = 300
-_SERVER_ERROR = 500
 
 
 class Relay:
@@ -323,15 +323,16 @@
                 return await self._give_up(job, responder, refused_failure(job.verdict))
             case Answered(head=head):
                 job.tried.add(upstream_id)
-                job.verdict = Verdict.RAN
-                if (
-                    head.status >= _SERVER_ERROR
-                    and self._retries.may_retry_after_execution(job, now_s=now_s)
+                job.record_answer(outcome)
+                if outcome.is_failure and self._retries.may_retry_after_execution(
+                    job, now_s=now_s
                 ):
-                    job.fallback_answer = outcome
                     return _RETRY
                 if responder.status is not None:
                     return resume_failure(head.status)
+                if not outcome.is_deliverable:
+                    failure = undeliverable_failure(head.status)
+                    return await self._give_up(job, responder, failure)
                 if head.status < _REDIRECTION:
                     self._crash_policy.complete(job, began_at_s=writer.began_at_s)
                 await _deliver(responder, outcome)
--- a/galenashift/gateway/_request.py
+++ b/galenashift/gateway/_request.py
@@ -59,7 +59,7 @@
     on_trial: bool = False
     #: Upstreams that may have received it and whose outcomes are not known yet.
     in_flight: set[UpstreamId] = field(default_factory=set)
-    #: Server error of an upstream, delivered if the retry does not succeed.
+    #: Failure that an upstream answered, delivered if no retry succeeds.
     fallback_answer: Answered | None = None
 
     @property
@@ -98,6 +98,12 @@
             **request_suspect(self.fingerprint),
         }
 
+    def record_answer(self, answer: Answered) -> None:
+        """Note that an upstream has executed the request, and keep its failure."""
+        self.verdict = Verdict.RAN
+        if answer.is_failure and answer.is_deliverable:
+            self.fallback_answer = answer
+
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have executed the request or may be executing it."""
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -47,6 +47,28 @@
     assert responder.status == 200
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("name", ["write", "stream", "read"])
+def test_status_of_an_upstream_is_no_promise_to_the_caller(name, status):
+    # An upstream that had executed an action failed it with 503. The caller got the 503
+    # as the promise that nothing had run, came back, and the action ran twice.
+    exchanger, responder = serve(name, answered(status), answered(status))
+    assert responder.status == 502
+    assert b"may-have-run" in responder.body
+    assert len(exchanger.requests) == (2 if name == "read" else 1)
+
+
+def test_failure_that_may_be_delivered_takes_precedence():
+    # The caller of a repeatable request gets what an upstream said, if it may.
+    _, responder = serve("read", answered(500), answered(503))
+    assert (responder.status, responder.body) == (500, b"body")
+
+
+def test_repeatable_request_is_retried_after_an_answer_that_it_may_not_get():
+    _, responder = serve("read", answered(429), answered(200))
+    assert responder.status == 200
+
+
 def test_unreachable_upstream_does_not_count_as_an_attempt():
     # Nothing was sent, so the attempt limit of the route does not apply.
     outcomes = (NotSent(detail="refused"), REFUSED, answered(200))
--- a/galenashift/platform/__init__.py
+++ b/galenashift/platform/__init__.py
@@ -30,6 +30,7 @@
     expected_upstream_header,
     find_header,
     idle_timeout_s,
+    promises_not_run,
 )
 from ._limit_records import (
     LIMIT_PREFIX,
@@ -179,6 +180,7 @@
     "idle_timeout_s",
     "limit_key",
     "load_settings",
+    "promises_not_run",
     "rollout_order_key",
     "rollout_record_key",
     "rollout_status_key",
--- a/galenashift/platform/_headers.py
+++ b/galenashift/platform/_headers.py
@@ -78,6 +78,8 @@
     }
 )
 _UNAVAILABLE = 503
+#: Statuses that tell a caller that its request has not been executed and will not be.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, _UNAVAILABLE})
 _MAX_RANK = 9
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 #: Characters of a malformed value that are logged.
@@ -313,6 +315,15 @@
         return None
 
 
+def promises_not_run(status: int) -> bool:
+    """Tell whether a status promises a caller that its request is never executed.
+
+    In the answer of an upstream it promises nothing: only `AnswerFields.not_executed`
+    does.
+    """
+    return status in _NOT_RUN_STATUSES
+
+
 def encode_answer(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Build the headers of an answer to a caller from those of the upstream.
 
