Take a failed write for the reset that it hides from the read

Cause: an upstream answered a long upload at once with a 200 without a length, sent a part and reset the connection during the upload; the caller got the part as a whole answer. The kernel reports a reset once. The write received it, and its error was dropped, so that the read saw a regular end, which marks the end of such an answer. Ruled out: that the answer ends before the reset arrives; that a read which sees the reset takes it for the end (it raises, as the tests with small requests show). Change: where an answer ends with its connection, the reader waits until the write has ended, and a failed write breaks the answer off. An upstream that closes only its own side and reads on still gives a whole answer.

--- a/galenashift/gateway/_connection.py
+++ b/galenashift/gateway/_connection.py
@@ -105,6 +105,9 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._closed = False
         self._peer_closed = False
+        #: Set when the present request is written, or cannot be written any further.
+        self._write_ended = trio.Event()
+        self._write_failed = False
         #: Whether the connection has completed an earlier request.
         self.reused = False
         #: Boot-time clock of the end of the last answer, in seconds.
@@ -133,6 +136,7 @@
             end = self._parser.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
             raise ConnectionFailed(f"request: {error}") from error
+        self._write_ended = trio.Event()
         if len(body) > _COPY_BYTES:
             return (head, content, end) if end else (head, content)
         return (head + content + end,)
@@ -146,7 +150,10 @@
             for data in parts:
                 await self._send_all(data)
         except (OSError, trio.ClosedResourceError) as error:
+            self._write_failed = True
             raise ConnectionFailed(f"write: {error!r}", reset=True) from error
+        finally:
+            self._write_ended.set()
 
     async def _send_all(self, data: bytes) -> None:
         view = memoryview(data)
@@ -187,10 +194,24 @@
                     if event.data:
                         return bytes(event.data)
                 case h11.EndOfMessage():
+                    if self._peer_closed:
+                        await self._check_not_reset()
                     return None
                 case _:
                     raise ConnectionFailed(f"unexpected {type(event).__name__}")
 
+    async def _check_not_reset(self) -> None:
+        """Check that a body without a stated end was not cut off by a reset.
+
+        The kernel reports a reset once. If a write in progress gets the error, the next
+        read returns the end of the connection, as after a regular close.
+
+        :raises ConnectionFailed: If the connection was reset.
+        """
+        await self._write_ended.wait()
+        if self._write_failed:
+            raise ConnectionFailed("reset while the request was written", reset=True)
+
     async def read_body(self, *, max_bytes: int) -> bytes:
         """Read the body up to its end.
 
--- a/galenashift/gateway/tests/test_broken_answers.py
+++ b/galenashift/gateway/tests/test_broken_answers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from galenashift.gateway._outcomes import Broken, StreamEnded
+from galenashift.gateway._outcomes import Answered, Broken, StreamEnded
 from galenashift.gateway._stream import StreamWriter
 from galenashift.gateway.tests.factories import new_memory
 from galenashift.gateway.tests.relay_fakes import (
@@ -140,6 +140,39 @@
             pytest.fail(f"{outcome}")
 
 
+#: Larger than the socket buffers, so that the upstream resets the connection first.
+UPLOAD = b"x" * 16_000_000
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.01, 0.1])
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_answer_that_is_reset_during_the_upload_is_broken_off(pause_s, is_stream):
+    # The write of the request got the error of the reset, so that the read took the end
+    # of the connection for the end of the answer, and the caller got a part as a whole.
+    script = ("read", UNFRAMED_HEAD, EVENT, pause_s, "reset")
+    upstream = Upstream(*[script] * 10)
+
+    async def scenario(exchange):
+        options = {"sink": keep_nothing} if is_stream else {}
+        request = new_request(body=UPLOAD)
+        return [await exchange(request=request, **options) for _ in range(10)]
+
+    for outcome in run_exchange(upstream, scenario):
+        assert isinstance(outcome, Broken)
+        assert outcome.reset
+
+
+def test_answer_without_a_length_may_end_before_the_upload():
+    # The upstream only ends its side, and reads on: nothing was broken off.
+    half_closed = ("read", UNFRAMED_HEAD, b"whole", "close-write", "read-all")
+    outcome = run_exchange(
+        Upstream(half_closed),
+        lambda exchange: exchange(request=new_request(body=UPLOAD)),
+    )
+    assert isinstance(outcome, Answered)
+    assert outcome.body == b"whole"
+
+
 BROKEN_OFF = StreamEnded(complete=False, started=True, detail="closed")
 
 
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -43,9 +43,9 @@
 class Upstream:
     """A server that runs one script per connection.
 
-    The steps are ``read``, ``close``, ``reset``, ``hang``, bytes to write, a pause in
-    seconds, or a tuple of bytes to write and the time for which the process is then
-    blocked, in seconds.
+    The steps are ``read``, ``read-all``, ``close``, ``close-write``, ``reset``,
+    ``hang``, bytes to write, a pause in seconds, or a tuple of bytes to write and the
+    time for which the process is then blocked, in seconds.
     """
 
     def __init__(self, *scripts):
@@ -66,6 +66,11 @@
                 await stream.send_all(step)
             elif step == "read":
                 self.received.append(await stream.receive_some(65_536))
+            elif step == "read-all":
+                async for _ in stream:
+                    pass
+            elif step == "close-write":
+                await stream.send_eof()
             elif isinstance(step, tuple):
                 # Block the whole process right after the bytes have arrived.
                 os.write(stream.socket.fileno(), step[0])
