Accept no answer with a status above 599

Cause: an upstream in trouble may send an answer with a status that HTTP does not have. 000 was refused by the parser, but 600 to 999 were delivered to the caller. Change: a head with such a status is no answer, as other bytes that are not HTTP.

--- a/galenashift/gateway/_connection.py
+++ b/galenashift/gateway/_connection.py
@@ -21,6 +21,8 @@
 #: Unanswered probes after which a connection is closed.
 _KEEPALIVE_PROBES = 2
 _READ_BYTES = 65_536
+#: Largest status of HTTP.
+_MAX_STATUS = 599
 #: Size of ``HTTP/1.1 100`` with the ends of the line and of the head, in bytes.
 _STATUS_LINE_BYTES = 17
 #: Answers to earlier requests that are skipped before the connection is closed.
@@ -175,6 +177,8 @@
                     head_bytes += _header_bytes(event)
                     if head_bytes > MAX_HEAD_BYTES:
                         raise AnswerTooLarge("head", max_bytes=MAX_HEAD_BYTES)
+                case h11.Response(status_code=status) if status > _MAX_STATUS:
+                    raise ConnectionFailed(f"not HTTP: status {status}")
                 case h11.Response():
                     return AnswerHead(
                         status=event.status_code, headers=list(event.headers)
--- a/galenashift/gateway/tests/test_broken_answers.py
+++ b/galenashift/gateway/tests/test_broken_answers.py
@@ -173,6 +173,17 @@
     assert outcome.body == b"whole"
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+@pytest.mark.parametrize("head", [UNFRAMED_HEAD, LENGTH_HEAD % 2])
+def test_answer_with_a_status_outside_http_is_none(status, head):
+    # An upstream in trouble sent an answer with the status 000, and the caller got it.
+    script = ("read", head.replace(b"200", status, 1) + b"ok", "close")
+    outcome = run_exchange(
+        Upstream(script), lambda exchange: exchange(request=new_request())
+    )
+    assert isinstance(outcome, Broken)
+
+
 BROKEN_OFF = StreamEnded(complete=False, started=True, detail="closed")
 
 
