Answer the requests that are still open as the process exits

Cause: a request that was accepted in the first seconds of a shutdown and outlasted it got no answer: the process exited and closed its connection. Change: right before the exit, requests whose answers have not begun get 504 with may-have-run, or 503 with Retry-After if they were not sent. Streams that have begun keep the 0.15 s for their end. A refusal at the exit names the shutdown, and not the deadline, as its reason.

--- a/galenashift/gateway/_app.py
+++ b/galenashift/gateway/_app.py
@@ -108,6 +108,7 @@
             await self._shutdown.wait_until_done(
                 requests=lambda: self._open_requests,
                 refuse_unsent=self._relay.open_requests.refuse_unsent,
+                fail_unanswered=self._relay.open_requests.fail_unanswered,
                 close_listener=self._close_caller_listener,
                 clock=self._clock,
             )
--- a/galenashift/gateway/_drain.py
+++ b/galenashift/gateway/_drain.py
@@ -15,7 +15,10 @@
 _REFUSAL_LEAD_S = 0.6
 #: Time before the exit at which the listener closes at the latest, in seconds.
 _CLOSE_LEAD_S = 1.2
+#: Time for the last answers before the exit, in seconds.
+_LAST_ANSWERS_S = 0.15
 _POLL_INTERVAL_S = 0.05
+_LAST_POLL_INTERVAL_S = 0.01
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -75,6 +78,7 @@
         *,
         requests: Callable[[], int],
         refuse_unsent: Callable[[], None],
+        fail_unanswered: Callable[[], None],
         close_listener: Callable[[], int],
         clock: Callable[[], float],
     ) -> None:
@@ -83,6 +87,8 @@
         :param requests: Returns the number of requests being read or answered.
         :param refuse_unsent: Refuses the requests that were not sent yet; called
             shortly before the process exits.
+        :param fail_unanswered: Fails the requests whose answers have not begun; called
+            once, right before the process exits.
         :param close_listener: Stops accepting connections; called once, early enough
             that requests on the connections it still accepts can be answered.
         """
@@ -100,3 +106,7 @@
             if clock() >= end_at_s - _REFUSAL_LEAD_S:
                 refuse_unsent()
             await trio.sleep(_POLL_INTERVAL_S)
+        fail_unanswered()
+        with trio.move_on_after(_LAST_ANSWERS_S):
+            while requests():
+                await trio.sleep(_LAST_POLL_INTERVAL_S)
--- a/galenashift/gateway/_drain_admission.py
+++ b/galenashift/gateway/_drain_admission.py
@@ -6,6 +6,7 @@
 from galenashift.model import Failure, Reason, RouteName, not_run
 
 from ._drain import LISTEN_AFTER_SIGNAL_S, DrainPeriod
+from ._failures import SHUTDOWN_RETRY_AFTER_S
 from ._request import ActiveRequest
 
 #: Time for which the duration of an answer is taken into account, in seconds.
@@ -18,9 +19,6 @@
 _MIN_ANSWERS = 20
 #: Most durations that are kept for a route.
 _MAX_DURATIONS = 64
-#: ``Retry-After`` of a refused request, in seconds. A new connection of the caller
-#: reaches another daemon.
-_RETRY_AFTER_S = 0.05
 
 
 class RouteDurations:
@@ -109,5 +107,5 @@
                 f"this daemon ends in {max(0.0, left_s):.1f} s, and an answer may take"
                 f" {needed_s:.1f} s"
             ),
-            retry_after_s=_RETRY_AFTER_S,
+            retry_after_s=SHUTDOWN_RETRY_AFTER_S,
         )
--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -12,6 +12,9 @@
 #: Longest ``Retry-After`` of a request that upstreams hold back, in seconds. They may
 #: be replaced before the pause that they asked for ends.
 _MAX_HELD_BACK_RETRY_AFTER_S = 30.0
+#: ``Retry-After`` of a request that is refused in a shutdown, in seconds. A new
+#: connection of the caller reaches another daemon.
+SHUTDOWN_RETRY_AFTER_S = 0.05
 #: ``Retry-After`` of a quarantined request, in seconds.
 QUARANTINE_RETRY_AFTER_S = 60.0
 
@@ -107,6 +110,21 @@
     )
 
 
+def shutdown_failure(*, sent: bool) -> Failure:
+    """Return the failure of a request that is not answered before the process ends.
+
+    :param sent: Whether an upstream may have received it.
+    """
+    detail = "this daemon ends before the answer"
+    if sent:
+        return may_have_run(reason=Reason.DEADLINE_PASSED, detail=detail)
+    return not_run(
+        reason=Reason.SHUTTING_DOWN,
+        detail=detail,
+        retry_after_s=SHUTDOWN_RETRY_AFTER_S,
+    )
+
+
 def no_upstream_failure(
     verdict: Verdict, *, service: str, limit_wait: LimitWait | None
 ) -> Failure:
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -26,6 +26,7 @@
     no_upstream_failure,
     refused_failure,
     resume_failure,
+    shutdown_failure,
     stage_failure,
     timeout_failure,
     undeliverable_failure,
@@ -171,7 +172,7 @@
     async def _serve(self, job: ActiveRequest, responder: Responder) -> Failure | None:
         now_s = self._clock()
         self._retries.count_request(job, now_s=now_s)
-        with self.open_requests.deadline(job, now_s=now_s):
+        with self.open_requests.deadline(job, responder, now_s=now_s):
             inputs = RequestInputs(
                 job=job,
                 staged=self._staged,
@@ -183,6 +184,8 @@
                 return await self._send_with_retries(job, responder, inputs)
             finally:
                 inputs.release()
+        if job.ended_by_shutdown:
+            return shutdown_failure(sent=job.may_have_run)
         return timeout_failure(sent=job.may_have_run)
 
     async def _send_with_retries(
--- a/galenashift/gateway/_request.py
+++ b/galenashift/gateway/_request.py
@@ -59,6 +59,8 @@
     on_trial: bool = False
     #: Upstreams that may have received it and whose outcomes are not known yet.
     in_flight: set[UpstreamId] = field(default_factory=set)
+    #: Whether it was given up before its deadline, as the process ends.
+    ended_by_shutdown: bool = False
     #: Failure that an upstream answered, delivered if no retry succeeds.
     fallback_answer: Answered | None = None
 
--- a/galenashift/gateway/tests/relay_fakes.py
+++ b/galenashift/gateway/tests/relay_fakes.py
@@ -247,6 +247,7 @@
     headers=(),
     upstreams=3,
     refuse_after_s=None,
+    end_after_s=None,
     statements=(),
     bounds=None,
     wait_ms=1500,
@@ -269,6 +270,7 @@
     :param wait_ms: Time for which the caller waits, in milliseconds.
     :param spread: Spreads requests over upstreams, if given.
     :param refuse_after_s: Time after which the relay refuses unsent requests.
+    :param end_after_s: Time after which the relay fails unanswered requests.
     :param exchanger: Replaces the fake one.
     :param leave_after_s: Time after which the caller leaves.
     :param prepare: Changes the view and the health records before the request.
@@ -342,7 +344,7 @@
             with trio.move_on_after(leave_after_s):
                 await relay.handle(request, responder)
             return clock()
-        if refuse_after_s is None:
+        if refuse_after_s is None and end_after_s is None:
             for _ in range(requests):
                 request = replace(request, arrived_at_s=clock())
                 responder.__init__()
@@ -350,8 +352,12 @@
             return clock()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(relay.handle, request, responder)
-            await trio.sleep(refuse_after_s)
-            relay.open_requests.refuse_unsent()
+            if refuse_after_s is not None:
+                await trio.sleep(refuse_after_s)
+                relay.open_requests.refuse_unsent()
+            if end_after_s is not None:
+                await trio.sleep(end_after_s)
+                relay.open_requests.fail_unanswered()
         return clock()
 
     clock = trio.testing.MockClock(autojump_threshold=0)
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -398,3 +398,19 @@
     # It may have been executed.
     _, responder = serve("write", 60.0, refuse_after_s=0.7)
     assert responder.status == 504
+
+
+def test_unanswered_request_is_answered_as_the_process_ends():
+    # The connection of a request that an upstream was executing was closed without an
+    # answer when the daemon exited after SIGTERM.
+    _, responder = serve("write", 60.0, end_after_s=0.7)
+    assert responder.status == 504
+    assert b"may-have-run" in responder.body
+    assert responder.elapsed_s == pytest.approx(0.7)
+
+
+def test_stream_that_has_begun_may_end_as_the_process_ends():
+    outcome = StreamEnded(complete=True, started=True, detail="")
+    _, responder = serve("stream", outcome, stream_s=0.75, end_after_s=0.7)
+    assert responder.body == EVENTS
+    assert responder.finished
