Move the registry of upstreams out of the view of the store

Change: `_upstream_registry.py` has the registrations, the upstreams that accept requests and the grace period after an outage. The view keeps its interface. No behaviour changes.

--- a/bench/_spread_effect.py
+++ b/bench/_spread_effect.py
@@ -16,7 +16,7 @@
 
 from galenashift.gateway._request_spread import RequestSpread
 from galenashift.gateway._router import Choice, Router
-from galenashift.gateway._view import KnownUpstream
+from galenashift.gateway._upstream_registry import KnownUpstream
 from galenashift.model import (
     DaemonId,
     FailureDomainName,
--- a/galenashift/gateway/_candidates.py
+++ b/galenashift/gateway/_candidates.py
@@ -11,7 +11,7 @@
 from galenashift.model import DaemonId, FailureDomainName, UpstreamId
 from galenashift.routing import RendezvousOrders
 
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 #: Sets that are kept: a service has one, or a few that change.
 _MAX_SETS = 64
--- a/galenashift/gateway/_cold_limiter.py
+++ b/galenashift/gateway/_cold_limiter.py
@@ -8,7 +8,7 @@
 from galenashift.model import DaemonId, Service, ServiceName, UpstreamId
 
 from ._health import HealthTracker
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 #: Window over which requests to an upstream are counted, in seconds. It is longer than
 #: the one second of the limit because request latency varies in the network, so that
--- a/galenashift/gateway/_components.py
+++ b/galenashift/gateway/_components.py
@@ -39,7 +39,8 @@
 from ._supervisor import Supervisor, Task
 from ._times import ServiceLatencies
 from ._upstream_limits import UpstreamLimiter
-from ._view import PlatformView, Report
+from ._upstream_registry import Report
+from ._view import PlatformView
 
 #: Network bandwidth that the work for peers uses per core, in Mbit/s.
 _LINK_MBPS_PER_CORE = 50.0
--- a/galenashift/gateway/_eligibility.py
+++ b/galenashift/gateway/_eligibility.py
@@ -9,7 +9,7 @@
 from ._expected_cost import UpstreamCosts
 from ._health import HealthTracker
 from ._upstream_limits import UpstreamLimiter
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 
 @dataclass(kw_only=True)
--- a/galenashift/gateway/_expected_cost.py
+++ b/galenashift/gateway/_expected_cost.py
@@ -9,7 +9,7 @@
 
 from ._health import HealthTracker, UpstreamHealth
 from ._request_spread import RequestSpread
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 #: Latency assumed for an upstream without samples, in seconds.
 _DEFAULT_LATENCY_S = 0.05
--- a/galenashift/gateway/_hedge_selector.py
+++ b/galenashift/gateway/_hedge_selector.py
@@ -11,8 +11,8 @@
 from ._outcomes import Outcome, Refused
 from ._request import ActiveRequest
 from ._router import Choice, Router
+from ._upstream_registry import KnownUpstream
 from ._upstream_selector import UpstreamSelector
-from ._view import KnownUpstream
 
 #: Services whose refusals are remembered; the oldest is dropped.
 _MAX_SERVICES = 1_000
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -50,8 +50,9 @@
 from ._stream import StreamWriter
 from ._times import ServiceLatencies
 from ._unconfirmed_crashes import Suspicion
+from ._upstream_registry import KnownUpstream
 from ._upstream_selector import UpstreamSelector
-from ._view import KnownUpstream, PlatformView
+from ._view import PlatformView
 
 _REDIRECTION = 300
 
--- a/galenashift/gateway/_request_spread.py
+++ b/galenashift/gateway/_request_spread.py
@@ -18,7 +18,7 @@
 from galenashift.routing import HeldEstimate, PrefixSpread, UpstreamUse, domain_shares
 
 from ._candidates import DomainGroups, random_order
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 #: Part of the token memory that is filled. The rest is for requests of other daemons
 #: that are not known; an upstream whose requests exceed its memory crashes.
--- a/galenashift/gateway/_rollout_answers.py
+++ b/galenashift/gateway/_rollout_answers.py
@@ -6,7 +6,7 @@
 from galenashift.rollouts import EvidenceKey, LocalRollout, Measure, Side
 from galenashift.telemetry import Metrics
 
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 
 class RolloutAnswers:
--- a/galenashift/gateway/_rollout_calls.py
+++ b/galenashift/gateway/_rollout_calls.py
@@ -7,7 +7,8 @@
 
 from ._outcomes import NotSent, Outcome, Refused
 from ._rollout_answers import RolloutAnswers, is_new
-from ._view import KnownUpstream, PlatformView
+from ._upstream_registry import KnownUpstream
+from ._view import PlatformView
 
 #: Name under which calls of stages are compared.
 _STAGE_ROUTE = RouteName("stage-calls")
--- a/galenashift/gateway/_rollout_requests.py
+++ b/galenashift/gateway/_rollout_requests.py
@@ -9,7 +9,8 @@
 from ._request import ActiveRequest
 from ._rollout_answers import RolloutAnswers, is_new
 from ._stream import StreamWriter
-from ._view import KnownUpstream, PlatformView
+from ._upstream_registry import KnownUpstream
+from ._view import PlatformView
 
 #: Lowest HTTP status that counts as a failure of the version.
 _SERVER_ERROR = 500
--- a/galenashift/gateway/_rollouts.py
+++ b/galenashift/gateway/_rollouts.py
@@ -13,7 +13,8 @@
 from ._rollout_requests import RolloutRequests
 from ._rollout_versions import VersionsInForce
 from ._rollout_view import StoredRecord
-from ._view import KnownUpstream, PlatformView
+from ._upstream_registry import KnownUpstream
+from ._view import PlatformView
 
 
 class Rollouts:
--- a/galenashift/gateway/_router.py
+++ b/galenashift/gateway/_router.py
@@ -22,7 +22,7 @@
 from ._health import HealthTracker
 from ._request_spread import RequestSpread, sender_upstreams
 from ._upstream_limits import UpstreamLimiter
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 #: Cost of the preferred upstream, as a multiple of the cost of the alternative, above
 #: which a prompt prefix goes to the alternative.
--- a/galenashift/gateway/_stage_call.py
+++ b/galenashift/gateway/_stage_call.py
@@ -17,7 +17,7 @@
 from ._rollout_calls import RolloutCalls
 from ._stage_job import Batch, PieceRef
 from ._stage_upstream import stage_request
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 _OK = 200
 #: Timeout of a call as a multiple of its expected duration.
--- a/galenashift/gateway/_stage_results.py
+++ b/galenashift/gateway/_stage_results.py
@@ -12,7 +12,8 @@
 from ._outcomes import Answered
 from ._stage_upstream import StageUpstreams, stage_request
 from ._upstream_limits import UpstreamLimiter
-from ._view import KnownUpstream, PlatformView
+from ._upstream_registry import KnownUpstream
+from ._view import PlatformView
 
 #: Time in which results are collected for one call that frees them, in seconds.
 _COLLECT_S = 0.02
--- a/galenashift/gateway/_stage_run.py
+++ b/galenashift/gateway/_stage_run.py
@@ -25,7 +25,7 @@
 from ._stage_outcome import StageFailed, StageOutcome, StageProblem, StageSucceeded
 from ._stage_rooms import LOCAL_OWNER, RoomReservation
 from ._times import StageWait
-from ._view import LARGE_RESULT_BYTES
+from ._upstream_registry import LARGE_RESULT_BYTES
 
 _job_numbers = itertools.count(1)
 
--- a/galenashift/gateway/_stage_scheduler.py
+++ b/galenashift/gateway/_stage_scheduler.py
@@ -32,7 +32,8 @@
 from ._stage_workers import StageWorkers
 from ._times import StageWait
 from ._upstream_limits import UpstreamLimiter
-from ._view import KnownUpstream, PlatformView
+from ._upstream_registry import KnownUpstream
+from ._view import PlatformView
 
 #: Time without calls to an upstream after a failed call, in seconds.
 _FAILURE_BACKOFF_S = 0.6
--- a/galenashift/gateway/_stage_upstream.py
+++ b/galenashift/gateway/_stage_upstream.py
@@ -9,7 +9,7 @@
 from ._outcomes import Answered, Outcome, Refused
 from ._slowness import ReportedSlowness, ReportLifetime
 from ._stage_plan import SMALL_RESULT_FRACTION
-from ._view import KnownUpstream
+from ._upstream_registry import KnownUpstream
 
 #: First period in which an upstream that reported full memory gets only pieces with
 #: small results, in seconds.
--- a/galenashift/gateway/_stage_workers.py
+++ b/galenashift/gateway/_stage_workers.py
@@ -9,7 +9,8 @@
 from ._stage_queue import StageQueue
 from ._stage_upstream import StageUpstreams
 from ._upstream_limits import UpstreamLimiter
-from ._view import KnownUpstream, PlatformView
+from ._upstream_registry import KnownUpstream
+from ._view import PlatformView
 
 
 class StageWorkers:
--- a/galenashift/gateway/_upstream_selector.py
+++ b/galenashift/gateway/_upstream_selector.py
@@ -10,7 +10,8 @@
 from ._request import ActiveRequest
 from ._rollout_requests import RolloutRequests
 from ._router import Choice, LimitWait, Router, prefix_key
-from ._view import KnownUpstream, PlatformView
+from ._upstream_registry import KnownUpstream
+from ._view import PlatformView
 
 #: Longest wait for an eligible upstream, as a ratio of the route's latency goal.
 _UPSTREAM_WAIT_RATIO = 0.125
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -1,7 +1,6 @@
 """The daemon's view of the store: configuration, upstreams, evacuations and peers."""
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Mapping
 
 from galenashift.model import (
     DaemonId,
@@ -39,26 +38,7 @@
 from galenashift.rollouts import AllowedVersions
 
 from ._rollout_view import RolloutView
-
-#: Grace period after an outage of the store in which registrations that expired during
-#: it may be renewed, in seconds.
-LAPSE_GRACE_S = 1.9
-#: Size of results from which transfers between failure domains are avoided, in bytes.
-LARGE_RESULT_BYTES = 500_000
-
-#: Reports a change of the view: an event name and its fields.
-Report = Callable[[str, Mapping[str, object]], None]
-
-
-@dataclass(frozen=True, kw_only=True)
-class KnownUpstream:
-    """A registration and the time at which this daemon received it."""
-
-    registration: RegisteredUpstream
-    #: Boot-time clock at which the record arrived, in seconds.
-    received_at_s: float
-    #: Boot-time clock until which the upstream is cold, in seconds.
-    cold_until_s: float
+from ._upstream_registry import KnownUpstream, Report, UpstreamRegistry
 
 
 class PlatformView:
@@ -80,12 +60,9 @@
         self.crash_evidence = CrashEvidence()
         #: Orders and records of rollouts, and the versions that may get requests.
         self.rollouts = RolloutView(report=report)
-        self._upstreams_by_id: dict[UpstreamId, KnownUpstream] = {}
-        self._ids_by_service: dict[ServiceName, set[UpstreamId]] = {}
-        #: Upstreams that accept requests, until a record changes.
-        self._available_by_service: dict[ServiceName, tuple[KnownUpstream, ...]] = {}
-        self._lapses_at_s: dict[UpstreamId, float] = {}
-        self._grace_until_s = 0.0
+        self._upstreams = UpstreamRegistry(
+            report=report, is_accepting=self._is_accepting
+        )
 
     @property
     def daemon_count(self) -> int:
@@ -94,81 +71,33 @@
 
     def find(self, upstream_id: UpstreamId) -> KnownUpstream | None:
         """Return a registered upstream."""
-        return self._upstreams_by_id.get(upstream_id)
+        return self._upstreams.find(upstream_id)
 
     def registrations(self, service: ServiceName) -> list[RegisteredUpstream]:
         """List all registered upstreams of a service."""
-        return [
-            self._upstreams_by_id[each].registration
-            for each in sorted(self._ids_by_service.get(service, ()))
-        ]
+        return self._upstreams.registrations(service)
 
     def find_by_address(self, address: str) -> KnownUpstream | None:
         """Return the upstream at an address such as ``10.0.0.1:80``."""
-        for known in self._upstreams_by_id.values():
-            registration = known.registration
-            if address == f"{registration.host}:{registration.port}":
-                return known
-        return None
+        return self._upstreams.find_by_address(address)
 
     def available_upstreams(
         self, service: ServiceName, *, now_s: float
     ) -> tuple[KnownUpstream, ...]:
-        """List the upstreams of a service that accept requests.
-
-        It is the same tuple until one of them changes.
-
-        :param now_s: Boot-time clock, in seconds.
-        """
-        self._drop_lapsed(now_s)
-        available = self._available_by_service.get(service)
-        if available is None:
-            available = self._list_available(service)
-            self._available_by_service[service] = available
-        return available
-
-    def _list_available(self, service: ServiceName) -> tuple[KnownUpstream, ...]:
-        known = (
-            self._upstreams_by_id[each]
-            for each in sorted(self._ids_by_service.get(service, ()))
-        )
-        return tuple(each for each in known if self._is_accepting(each.registration))
+        """List the upstreams of a service, see `UpstreamRegistry.available`."""
+        return self._upstreams.available(service, now_s=now_s)
 
     def domain_with_most_bytes(
         self, bytes_by_address: Mapping[str, int]
     ) -> FailureDomainName | None:
-        """Return the failure domain that stores the most bytes of some results.
-
-        :param bytes_by_address: Stored bytes by the address of the upstream.
-        :returns: None if no domain stores at least `LARGE_RESULT_BYTES`.
-        """
-        bytes_by_domain: dict[FailureDomainName, int] = {}
-        for known in self._upstreams_by_id.values():
-            registration = known.registration
-            address = f"{registration.host}:{registration.port}"
-            size = bytes_by_address.get(address, 0)
-            domain = registration.failure_domain
-            bytes_by_domain[domain] = bytes_by_domain.get(domain, 0) + size
-        largest_domain = max(
-            bytes_by_domain, key=bytes_by_domain.__getitem__, default=None
-        )
-        if (
-            largest_domain is None
-            or bytes_by_domain[largest_domain] < LARGE_RESULT_BYTES
-        ):
-            return None
-        return largest_domain
+        """See `UpstreamRegistry.domain_with_most_bytes`."""
+        return self._upstreams.domain_with_most_bytes(bytes_by_address)
 
     def accepts_requests(
         self, registration: RegisteredUpstream, *, now_s: float
     ) -> bool:
-        """Tell whether an upstream that was selected before still accepts requests.
-
-        :param now_s: Boot-time clock, in seconds.
-        """
-        self._drop_lapsed(now_s)
-        known = self._upstreams_by_id.get(registration.upstream_id)
-        return known is not None and self._is_accepting(known.registration)
+        """See `UpstreamRegistry.accepts_requests`."""
+        return self._upstreams.accepts_requests(registration, now_s=now_s)
 
     def _is_accepting(self, registration: RegisteredUpstream) -> bool:
         if registration.state is not InstanceState.READY:
@@ -182,16 +111,11 @@
     ) -> None:
         """Restrict a service to some versions of its upstreams; None for all."""
         if self.rollouts.restrict(service, allowed):
-            self._available_by_service.pop(service, None)
+            self._upstreams.forget_available(service)
 
     def begin_lapse_grace(self, *, now_s: float) -> None:
-        """Keep registrations for a grace period after an outage of the store.
-
-        Those that expired during the outage are expected to be renewed.
-
-        :param now_s: Boot-time clock, in seconds.
-        """
-        self._grace_until_s = now_s + LAPSE_GRACE_S
+        """See `UpstreamRegistry.begin_lapse_grace`."""
+        self._upstreams.begin_lapse_grace(now_s=now_s)
 
     def apply_snapshot(self, snapshot: Snapshot, *, now_s: float) -> None:
         """Replace all records by a listing of the store.
@@ -199,9 +123,9 @@
         :param now_s: Boot-time clock, in seconds.
         """
         keys = {item.key for item in snapshot.items}
-        for upstream_id in list(self._upstreams_by_id):
+        for upstream_id in self._upstreams.ids:
             if UPSTREAM_PREFIX + upstream_id not in keys:
-                self._remove_upstream(upstream_id, now_s)
+                self._upstreams.remove(upstream_id, now_s=now_s)
         for daemon_id in list(self.peers_by_id):
             if DAEMON_PREFIX + daemon_id not in keys:
                 self._remove_peer(daemon_id)
@@ -252,7 +176,8 @@
         if key.startswith(EVACUATION_PREFIX):
             self._end_evacuation(decode_evacuated(key))
         elif key.startswith(UPSTREAM_PREFIX):
-            self._remove_upstream(UpstreamId(key.removeprefix(UPSTREAM_PREFIX)), now_s)
+            upstream_id = UpstreamId(key.removeprefix(UPSTREAM_PREFIX))
+            self._upstreams.remove(upstream_id, now_s=now_s)
         elif key.startswith(DAEMON_PREFIX):
             self._remove_peer(DaemonId(key.removeprefix(DAEMON_PREFIX)))
         elif key.startswith(CRASH_PREFIX):
@@ -285,13 +210,13 @@
     def _evacuate(self, domain: FailureDomainName) -> None:
         if domain not in self.evacuated:
             self.evacuated.add(domain)
-            self._available_by_service.clear()
+            self._upstreams.forget_available()
             self._report("domain-evacuated", {"domain": domain})
 
     def _end_evacuation(self, domain: FailureDomainName) -> None:
         if domain in self.evacuated:
             self.evacuated.discard(domain)
-            self._available_by_service.clear()
+            self._upstreams.forget_available()
             self._report("domain-restored", {"domain": domain})
 
     def _put_peer(self, daemon_id: DaemonId, address: PeerAddress) -> None:
@@ -343,54 +268,10 @@
         self.crash_evidence.record_stored(crash_id, until_s=0.0)
 
     def _put_upstream(self, item: Item, now_s: float) -> None:
-        upstream_id = UpstreamId(item.key.removeprefix(UPSTREAM_PREFIX))
         try:
             registration = decode_upstream(key=item.key, value=item.value)
         except RecordError:
-            self._delete(upstream_id)
+            upstream_id = UpstreamId(item.key.removeprefix(UPSTREAM_PREFIX))
+            self._upstreams.discard(upstream_id)
             raise
-        self._lapses_at_s.pop(upstream_id, None)
-        before = self._upstreams_by_id.get(upstream_id)
-        if before is not None and before.registration == registration:
-            return
-        self._delete(upstream_id)
-        self._available_by_service.pop(registration.service, None)
-        self._upstreams_by_id[upstream_id] = KnownUpstream(
-            registration=registration,
-            received_at_s=now_s,
-            cold_until_s=now_s + registration.cold_left_s,
-        )
-        self._ids_by_service.setdefault(registration.service, set()).add(upstream_id)
-        fields = {
-            "upstream": upstream_id,
-            "service": registration.service,
-            "state": registration.state.value,
-            "domain": registration.failure_domain,
-            "cold_left_s": registration.cold_left_s,
-            "version": registration.version,
-        }
-        self._report("upstream-registered", fields)
-
-    def _remove_upstream(self, upstream_id: UpstreamId, now_s: float) -> None:
-        known = self._upstreams_by_id.get(upstream_id)
-        if known is None:
-            return
-        draining = known.registration.state is InstanceState.DRAINING
-        if now_s < self._grace_until_s and not draining:
-            self._lapses_at_s.setdefault(upstream_id, self._grace_until_s)
-            return
-        self._delete(upstream_id)
-        self._report("upstream-removed", {"upstream": upstream_id})
-
-    def _drop_lapsed(self, now_s: float) -> None:
-        for upstream_id, lapses_at_s in list(self._lapses_at_s.items()):
-            if now_s >= lapses_at_s:
-                self._delete(upstream_id)
-                self._report("upstream-lapsed", {"upstream": upstream_id})
-
-    def _delete(self, upstream_id: UpstreamId) -> None:
-        self._lapses_at_s.pop(upstream_id, None)
-        known = self._upstreams_by_id.pop(upstream_id, None)
-        if known is not None:
-            self._ids_by_service[known.registration.service].discard(upstream_id)
-            self._available_by_service.pop(known.registration.service, None)
+        self._upstreams.put(registration, now_s=now_s)
--- a/galenashift/gateway/tests/factories.py
+++ b/galenashift/gateway/tests/factories.py
@@ -10,7 +10,8 @@
 from galenashift.gateway._stage_job import JobId, StageJob, Worker
 from galenashift.gateway._stage_server import StageServer
 from galenashift.gateway._upstream_limits import UpstreamLimiter
-from galenashift.gateway._view import KnownUpstream, PlatformView
+from galenashift.gateway._upstream_registry import KnownUpstream
+from galenashift.gateway._view import PlatformView
 from galenashift.limits import AnswerMemory, UpstreamRates
 from galenashift.model import (
     AnswerFields,
--- a/galenashift/gateway/tests/test_faulty_answers.py
+++ b/galenashift/gateway/tests/test_faulty_answers.py
@@ -13,7 +13,8 @@
 from galenashift.gateway._stage_call import StageCaller
 from galenashift.gateway._stage_job import Batch, PieceRef
 from galenashift.gateway._times import next_event_deadline_s
-from galenashift.gateway._view import KnownUpstream, PlatformView
+from galenashift.gateway._upstream_registry import KnownUpstream
+from galenashift.gateway._view import PlatformView
 from galenashift.gateway.tests.factories import new_job, new_memory, new_rollouts
 from galenashift.gateway.tests.test_exchange import (
     CHUNKED_HEAD,
--- a/galenashift/gateway/tests/test_view.py
+++ b/galenashift/gateway/tests/test_view.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from galenashift.gateway._view import LAPSE_GRACE_S, PlatformView
+from galenashift.gateway._upstream_registry import LAPSE_GRACE_S
+from galenashift.gateway._view import PlatformView
 from galenashift.model import FailureDomainName, ServiceName, UpstreamId
 from galenashift.platform import Deletion, Item, Snapshot, StoreRevision
 
