Take nothing back when the store comes back from an older copy

Cause: nothing read the era of the store. After a return from an older copy, daemons listed the copy as newer than what they knew: evacuations ended, upstreams that had left got requests, and missing daemons made shares larger. A watch could go on from a revision given out again, and leases could be those of other daemons. Change: the era is decoded from each answer. Leases and positions of watches contain it, and calls with those of a past era fail. The first answer of a new era lists all records again; for 5 s the copy is added to what is known, and then one more listing counts. The types of records moved to `_store_records.py`, and `LatestTimes` to a module of its own.

--- a/galenashift/gateway/_components.py
+++ b/galenashift/gateway/_components.py
@@ -139,13 +139,20 @@
 
     def _create_store_tasks(self) -> None:
         settings = self._settings
-        self._store = PlatformStore(address=settings.store)
+        self._store = PlatformStore(
+            address=settings.store,
+            on_era_change=lambda change: self.store_watch.begin_era(change),
+            on_unreadable_era=lambda value: self._events.warning(
+                "store-era-unreadable", value=value.text
+            ),
+        )
         self.store_watch = StoreWatch(
             store=self._store,
             view=self.view,
             apply_within_s=min(
                 settings.bounds.drain_limit_s, settings.bounds.config_apply_limit_s
             ),
+            on_older_copy=self._report_again,
             events=self._events,
             metrics=self._metrics,
             clock=self._clock,
@@ -158,6 +165,11 @@
             events=self._events,
         )
 
+    def _report_again(self) -> None:
+        """Write again what this fleet had reported and the store has lost."""
+        self._crashes.report_again()
+        self._limit_reporter.report_again()
+
     def _create_upstreams(self) -> None:
         settings = self._settings
         self._health = HealthTracker()
--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -112,6 +112,7 @@
         self._clock = clock
         self._own_suspects_by_crash: dict[CrashId, CrashSuspects] = {}
         self._unconfirmed = UnconfirmedCrashes()
+        self._nursery: trio.Nursery | None = None
         self._suspicion_sender, self._suspicion_receiver = trio.open_memory_channel[
             Suspicion
         ](_MAX_PENDING_SUSPICIONS)
@@ -222,6 +223,7 @@
             nursery.start_soon(self._reporter.run)
             nursery.start_soon(self._forget_old_crashes)
             nursery.start_soon(self._confirm_later)
+            self._nursery = nursery
             nursery.start_soon(self._report_cleared, nursery)
             async for suspicion in self._suspicion_receiver:
                 nursery.start_soon(self._examine, suspicion)
@@ -283,6 +285,30 @@
             del self._own_suspects_by_crash[next(iter(self._own_suspects_by_crash))]
         self._report(crash_id, own)
 
+    def report_again(self) -> None:
+        """Report what the store has lost, each daemon in its turn."""
+        if self._nursery is None:
+            return
+        crashes = self._evidence.unstored_crashes(now_s=self._clock())
+        for crash_id, suspects in crashes.items():
+            self._nursery.start_soon(self._report_crash_in_turn, crash_id, suspects)
+        for clearance in self._evidence.lost_clearances():
+            self._nursery.start_soon(self._report_cleared_in_turn, clearance)
+
+    async def _report_crash_in_turn(
+        self, crash_id: CrashId, suspects: CrashSuspects
+    ) -> None:
+        await self._wait_for_turn(crash_id)
+        if not self._evidence.is_crash_stored(crash_id, now_s=self._clock()):
+            self._report(crash_id, suspects)
+
+    async def _wait_for_turn(self, key: str) -> None:
+        """Wait until all daemons that report on a key before this one have done it."""
+        turn = report_turn(
+            key=key, daemon_id=self._daemon_id, daemons=self._view.peers_by_id
+        )
+        await trio.sleep(_TURN_INTERVAL_S * turn)
+
     def _report(self, crash_id: CrashId, suspects: CrashSuspects) -> None:
         report = CrashReport(
             crash_id=crash_id, reporter=self._daemon_id, suspects=suspects
@@ -295,10 +321,7 @@
 
     async def _report_cleared_in_turn(self, clearance: Clearance) -> None:
         suspect = clearance.suspect
-        turn = report_turn(
-            key=suspect, daemon_id=self._daemon_id, daemons=self._view.peers_by_id
-        )
-        await trio.sleep(_TURN_INTERVAL_S * turn)
+        await self._wait_for_turn(suspect)
         if self._evidence.is_stored(clearance):
             return
         # The lease of a new record lasts as long as those of the reports it refutes.
--- a/galenashift/gateway/_limit_reports.py
+++ b/galenashift/gateway/_limit_reports.py
@@ -58,6 +58,15 @@
         if report.is_about(known.registration):
             self._limiter.record_report(known.registration, report.per_s)
 
+    def report_again(self) -> None:
+        """Report the limits that the store does not hold as this daemon knows them."""
+        now_s = self._clock()
+        for upstream in self._view.all_registrations():
+            stored = self._view.limit_reports_by_id.get(upstream.upstream_id)
+            has_limit = self._limiter.status(upstream, now_s=now_s) is not None
+            if has_limit or (stored is not None and stored.per_s is not None):
+                self._report_later(upstream)
+
     def _report_later(self, upstream: RegisteredUpstream) -> None:
         if self._nursery is not None and upstream.upstream_id not in self._pending:
             self._pending.add(upstream.upstream_id)
--- a/galenashift/gateway/_record_writer.py
+++ b/galenashift/gateway/_record_writer.py
@@ -10,7 +10,7 @@
 from galenashift.model import DaemonId
 from galenashift.platform import (
     MAX_RECORDS_PER_WRITE,
-    LeaseId,
+    Lease,
     StoreFailure,
     StoreProblem,
     StoreRevision,
@@ -45,11 +45,11 @@
 class RecordStore(Protocol):
     """Store of the reports of all daemons."""
 
-    async def grant_lease(self, *, lifetime_s: float) -> LeaseId | StoreFailure:
+    async def grant_lease(self, *, lifetime_s: float) -> Lease | StoreFailure:
         """Create a lease."""
 
     async def put_all(
-        self, value_by_key: Mapping[str, bytes], *, lease: LeaseId
+        self, value_by_key: Mapping[str, bytes], *, lease: Lease
     ) -> StoreRevision | StoreFailure:
         """Write records that expire with a lease."""
 
@@ -69,7 +69,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._clock = clock
-        self._lease: LeaseId | None = None
+        self._lease: Lease | None = None
         self._lease_granted_at_s = 0.0
         self._store = store
         self._events = events
@@ -118,7 +118,7 @@
         batch = {key: self._value_by_key[key] for key in keys}
         written = await self._store.put_all(batch, lease=lease)
         if isinstance(written, StoreFailure):
-            if written.problem is StoreProblem.NOT_FOUND:
+            if written.problem in {StoreProblem.NOT_FOUND, StoreProblem.PAST_ERA}:
                 self._lease = None
             return written
         self._events.info("records-written", records=len(batch), lease=lease)
@@ -127,7 +127,7 @@
                 del self._value_by_key[key]
         return None
 
-    async def _current_lease(self) -> LeaseId | StoreFailure:
+    async def _current_lease(self) -> Lease | StoreFailure:
         now_s = self._clock()
         if (
             self._lease is not None
--- a/galenashift/gateway/_store_watch.py
+++ b/galenashift/gateway/_store_watch.py
@@ -8,13 +8,14 @@
 from galenashift.platform import (
     CONFIG_KEY,
     ChangeSet,
-    LeaseId,
+    EraChange,
+    Lease,
     PeerAddress,
     PlatformStore,
     Snapshot,
     StoreFailure,
     StoreProblem,
-    StoreRevision,
+    WatchPosition,
     daemon_key,
     encode_daemon,
 )
@@ -37,6 +38,9 @@
 _READ_DECAY = 0.9
 #: Pause after a failed call, in seconds.
 _RETRY_PAUSE_S = 0.3
+#: Time in which operators and upstreams write again what an older copy of the store
+#: lacks, in seconds. The store removes an upstream after three missed heartbeats.
+RESTORE_GRACE_S = 5.0
 #: Lifetime of this daemon's registration unless it is renewed, in seconds.
 _LEASE_LIFETIME_S = 6.0
 #: Time between renewals, in seconds.
@@ -59,6 +63,8 @@
     """Updates the view with the records of the store.
 
     :param apply_within_s: Time within which a change must be applied, in seconds.
+    :param on_older_copy: Called once the view has the records of a store that has come
+        back from an older copy.
     :param clock: Boot-time clock.
     """
 
@@ -68,6 +74,7 @@
         store: PlatformStore,
         view: PlatformView,
         apply_within_s: float,
+        on_older_copy: Callable[[], None] = lambda: None,
         events: EventLog,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -82,6 +89,10 @@
         self._clock = clock
         self._outage_began_at_s: float | None = None
         self._watch_scope: trio.CancelScope | None = None
+        self._on_older_copy = on_older_copy
+        #: Boot-time clock until which the store may lack records after its return from
+        #: an older copy, in seconds; None if a listing is complete.
+        self._incomplete_until_s: float | None = None
         #: Boot-time clock of the last successful read of the store, in seconds.
         self.up_to_date_at_s = 0.0
         #: Set after the first complete read of the store.
@@ -92,28 +103,58 @@
         while True:
             snapshot = await self._store.list_prefix(_ALL_KEYS)
             match snapshot:
+                case StoreFailure(problem=StoreProblem.PAST_ERA):
+                    continue
                 case StoreFailure():
                     self._record_failure(snapshot)
                     await trio.sleep(_RETRY_PAUSE_S)
                 case Snapshot():
                     self._record_success()
-                    self._view.apply_snapshot(snapshot, now_s=self._clock())
+                    self._apply_snapshot(snapshot)
                     self.loaded.set()
-                    await self._apply_changes(snapshot.revision)
+                    await self._apply_changes(snapshot.position)
 
-    async def _apply_changes(self, revision: StoreRevision) -> None:
+    def begin_era(self, change: EraChange) -> None:
+        """List all records again, as the store has come back from an older copy."""
+        self._metrics.count("store_era_changes_total")
+        self._metrics.set_gauge("store_era", change.current)
+        now_s = self._clock()
+        self._incomplete_until_s = now_s + RESTORE_GRACE_S
+        self._events.warning(
+            "store-era-changed",
+            previous=change.previous,
+            current=change.current,
+            fresh_s=now_s - self.up_to_date_at_s,
+            kept_s=RESTORE_GRACE_S,
+        )
+        if self._watch_scope is not None:
+            self._watch_scope.cancel()
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        now_s = self._clock()
+        if self._incomplete_until_s is None:
+            self._view.apply_snapshot(snapshot, now_s=now_s)
+        elif now_s < self._incomplete_until_s:
+            self._view.apply_older_copy(snapshot, now_s=now_s)
+            self._on_older_copy()
+        else:
+            self._incomplete_until_s = None
+            self._view.apply_snapshot(snapshot, now_s=now_s)
+            self._events.info("store-complete", revision=snapshot.revision)
+
+    async def _apply_changes(self, position: WatchPosition) -> None:
         """Apply changes until the store must be listed again.
 
-        That is the case when its history no longer covers the revision, or after
-        `restart_watch`.
+        That is the case when its history no longer covers the position, after
+        `restart_watch`, and once records that an older copy lacks are written again.
         """
         while True:
-            changes = await self._wait_for_changes(revision)
+            changes = await self._wait_for_changes(position)
             match changes:
-                case None:
+                case None | StoreFailure(problem=StoreProblem.PAST_ERA):
                     return
                 case StoreFailure(problem=StoreProblem.HISTORY_GONE):
-                    self._events.info("store-history-gone", after=revision)
+                    self._events.info("store-history-gone", after=position.after)
                     return
                 case StoreFailure():
                     self._record_failure(changes)
@@ -121,7 +162,7 @@
                 case ChangeSet():
                     self._record_success()
                     self._apply(changes)
-                    revision = changes.revision
+                    position = changes.position
                     if changes.changes:
                         await trio.sleep(
                             batch_pause_s(
@@ -140,12 +181,17 @@
         self._read_s = max(read_s, _READ_DECAY * self._read_s)
 
     async def _wait_for_changes(
-        self, revision: StoreRevision
+        self, position: WatchPosition
     ) -> ChangeSet | StoreFailure | None:
-        """Wait for changes, or return None if `restart_watch` cancels the wait."""
+        """Wait for changes, or return None if the store must be listed again."""
+        wait_s = _WATCH_TIMEOUT_S
+        if self._incomplete_until_s is not None:
+            wait_s = min(wait_s, self._incomplete_until_s - self._clock())
+            if wait_s <= 0:
+                return None
         with trio.CancelScope() as self._watch_scope:
             return await self._store.watch(
-                prefix=_ALL_KEYS, after=revision, wait_s=_WATCH_TIMEOUT_S
+                prefix=_ALL_KEYS, position=position, wait_s=wait_s
             )
         return None
 
@@ -197,7 +243,7 @@
         self._peer = peer
         self._on_failure = on_failure
         self._events = events
-        self._lease: LeaseId | None = None
+        self._lease: Lease | None = None
         self._ended = False
 
     async def run(self) -> None:
@@ -224,13 +270,16 @@
         self._lease = lease
         self._events.info("registered", lease=lease)
 
-    async def _renew(self, lease: LeaseId) -> None:
+    async def _renew(self, lease: Lease) -> None:
         failure = await self._store.renew_lease(lease)
         if failure is None:
             return
-        self._on_failure(failure)
-        if failure.problem is StoreProblem.NOT_FOUND:
-            self._events.warning("registration-lapsed", lease=lease)
+        if failure.problem is not StoreProblem.PAST_ERA:
+            self._on_failure(failure)
+        if failure.problem in {StoreProblem.NOT_FOUND, StoreProblem.PAST_ERA}:
+            self._events.warning(
+                "registration-lapsed", lease=lease, problem=failure.problem
+            )
             self._lease = None
 
     async def end(self) -> None:
--- a/galenashift/gateway/_upstream_registry.py
+++ b/galenashift/gateway/_upstream_registry.py
@@ -16,6 +16,9 @@
 LAPSE_GRACE_S = 1.9
 #: Size of results from which transfers between failure domains are avoided, in bytes.
 LARGE_RESULT_BYTES = 500_000
+#: Most upstreams that are remembered after they have left; the oldest is dropped.
+_MAX_DEPARTED = 4_096
+
 #: Reports a change of the view: an event name and its fields.
 Report = Callable[[str, Mapping[str, object]], None]
 
@@ -49,6 +52,8 @@
         self._available_by_service: dict[ServiceName, tuple[KnownUpstream, ...]] = {}
         self._lapses_at_s: dict[UpstreamId, float] = {}
         self._grace_until_s = 0.0
+        #: Last registrations of upstreams that have left.
+        self._departed_by_id: dict[UpstreamId, RegisteredUpstream] = {}
 
     @property
     def ids(self) -> tuple[UpstreamId, ...]:
@@ -66,6 +71,10 @@
             for each in sorted(self._ids_by_service.get(service, ()))
         ]
 
+    def all_registrations(self) -> list[RegisteredUpstream]:
+        """List all registered upstreams."""
+        return [known.registration for known in self._upstreams_by_id.values()]
+
     def find_by_address(self, address: str) -> KnownUpstream | None:
         """Return the upstream at an address such as ``10.0.0.1:80``."""
         for known in self._upstreams_by_id.values():
@@ -152,6 +161,20 @@
         """
         self._grace_until_s = now_s + LAPSE_GRACE_S
 
+    def is_outdated(self, registration: RegisteredUpstream) -> bool:
+        """Tell whether an older copy shows an upstream that has left since.
+
+        :param registration: Registration in a listing of an older copy.
+        """
+        upstream_id = registration.upstream_id
+        departed = self._departed_by_id.get(upstream_id)
+        if departed is not None:
+            return not _is_restarted(registration, since=departed)
+        known = self._upstreams_by_id.get(upstream_id)
+        if known is None or known.registration.state is not InstanceState.DRAINING:
+            return False
+        return not _is_restarted(registration, since=known.registration)
+
     def put(self, registration: RegisteredUpstream, *, now_s: float) -> None:
         """Add or replace a registration.
 
@@ -159,6 +182,7 @@
         """
         upstream_id = registration.upstream_id
         self._lapses_at_s.pop(upstream_id, None)
+        self._departed_by_id.pop(upstream_id, None)
         before = self._upstreams_by_id.get(upstream_id)
         if before is not None and before.registration == registration:
             return
@@ -196,18 +220,36 @@
         if now_s < self._grace_until_s and not draining:
             self._lapses_at_s.setdefault(upstream_id, self._grace_until_s)
             return
-        self._delete(upstream_id)
+        self._depart(known.registration)
         self._report("upstream-removed", {"upstream": upstream_id})
 
     def _drop_lapsed(self, now_s: float) -> None:
         for upstream_id, lapses_at_s in list(self._lapses_at_s.items()):
             if now_s >= lapses_at_s:
-                self._delete(upstream_id)
+                self._depart(self._upstreams_by_id[upstream_id].registration)
                 self._report("upstream-lapsed", {"upstream": upstream_id})
 
+    def _depart(self, registration: RegisteredUpstream) -> None:
+        self._delete(registration.upstream_id)
+        self._departed_by_id[registration.upstream_id] = registration
+        if len(self._departed_by_id) > _MAX_DEPARTED:
+            del self._departed_by_id[next(iter(self._departed_by_id))]
+
     def _delete(self, upstream_id: UpstreamId) -> None:
         self._lapses_at_s.pop(upstream_id, None)
         known = self._upstreams_by_id.pop(upstream_id, None)
         if known is not None:
             self._ids_by_service[known.registration.service].discard(upstream_id)
             self._available_by_service.pop(known.registration.service, None)
+
+
+def _is_restarted(
+    registration: RegisteredUpstream, *, since: RegisteredUpstream
+) -> bool:
+    """Tell whether an upstream has started again since another registration of it."""
+    started_at_ms, before_ms = registration.started_at_ms, since.started_at_ms
+    return (
+        started_at_ms is not None
+        and before_ms is not None
+        and started_at_ms > before_ms
+    )
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -1,5 +1,6 @@
 """The daemon's view of the store: configuration, upstreams, evacuations and peers."""
 
+import contextlib
 from collections.abc import Mapping
 
 from galenashift.model import (
@@ -77,6 +78,10 @@
         """List all registered upstreams of a service."""
         return self._upstreams.registrations(service)
 
+    def all_registrations(self) -> list[RegisteredUpstream]:
+        """List all registered upstreams."""
+        return self._upstreams.all_registrations()
+
     def find_by_address(self, address: str) -> KnownUpstream | None:
         """Return the upstream at an address such as ``10.0.0.1:80``."""
         return self._upstreams.find_by_address(address)
@@ -140,6 +145,46 @@
         for item in sorted(snapshot.items, key=lambda item: item.revision):
             self._apply_item(item, now_s)
 
+    def apply_older_copy(self, snapshot: Snapshot, *, now_s: float) -> None:
+        """Apply the first listing after the store has come back from an older copy.
+
+        Operators and upstreams write again what the copy lacks, so that nothing is
+        removed, and upstreams that have left since the copy stay away. Reports of
+        daemons that it lacks count as not stored.
+
+        :param now_s: Boot-time clock, in seconds.
+        """
+        known_limits = dict(self.limit_reports_by_id)
+        self.limit_reports_by_id.clear()
+        self.crash_evidence.forget_stored()
+        for item in sorted(snapshot.items, key=lambda item: item.revision):
+            if item.key.startswith(LIMIT_PREFIX) and known_limits:
+                self._put_older_limit(item, known_limits, now_s)
+            elif not self._is_outdated(item):
+                self._apply_item(item, now_s)
+
+    def _is_outdated(self, item: Item) -> bool:
+        """Tell whether an older copy shows an upstream that has left since."""
+        if not item.key.startswith(UPSTREAM_PREFIX):
+            return False
+        try:
+            registration = decode_upstream(key=item.key, value=item.value)
+        except RecordError:
+            return False
+        return self._upstreams.is_outdated(registration)
+
+    def _put_older_limit(
+        self, item: Item, known: Mapping[UpstreamId, LimitReport], now_s: float
+    ) -> None:
+        """Note which report the store holds, and apply it only if none was known."""
+        upstream_id = UpstreamId(item.key.removeprefix(LIMIT_PREFIX))
+        if upstream_id not in known:
+            self._apply_item(item, now_s)
+            return
+        with contextlib.suppress(RecordError):
+            report = decode_limit(key=item.key, value=item.value)
+            self.limit_reports_by_id[upstream_id] = report
+
     def apply(self, change: Item | Deletion, *, now_s: float) -> None:
         """Apply one change of the store.
 
--- a/galenashift/gateway/tests/test_crashes.py
+++ b/galenashift/gateway/tests/test_crashes.py
@@ -19,6 +19,7 @@
 from galenashift.platform import (
     Deletion,
     Item,
+    Lease,
     LeaseId,
     PeerAddress,
     Snapshot,
@@ -68,7 +69,7 @@
         self.writes = 0
 
     async def grant_lease(self, *, lifetime_s):
-        return LeaseId(1)
+        return Lease(lease_id=LeaseId(1))
 
     async def put_all(self, value_by_key, *, lease):
         if self.failures:
--- a/galenashift/gateway/tests/test_store_watch.py
+++ b/galenashift/gateway/tests/test_store_watch.py
@@ -19,6 +19,7 @@
     Address,
     ChangeSet,
     Deletion,
+    Lease,
     LeaseId,
     PeerAddress,
     Snapshot,
@@ -67,8 +68,9 @@
             items=(config_item(self.version),), revision=StoreRevision(self.revision)
         )
 
-    async def watch(self, *, prefix, after, wait_s):
+    async def watch(self, *, prefix, position, wait_s):
         self.calls += 1
+        after = position.after
         if self.gone:
             self.gone = False
             return _HISTORY_GONE
@@ -86,7 +88,7 @@
         return ChangeSet(changes=changed, revision=revision, transfer_s=self.transfer_s)
 
     async def grant_lease(self, *, lifetime_s):
-        return _UNREACHABLE if self.silent else LeaseId(7)
+        return _UNREACHABLE if self.silent else Lease(lease_id=LeaseId(7))
 
     async def put(self, *, key, value, lease):
         assert json.loads(value)["capacity"] == 1.0
--- a/galenashift/platform/__init__.py
+++ b/galenashift/platform/__init__.py
@@ -88,17 +88,19 @@
     encode_run,
     handle_address,
 )
-from ._store import (
-    MAX_RECORDS_PER_WRITE,
+from ._store import MAX_RECORDS_PER_WRITE, PlatformStore
+from ._store_era import EraChange, EraTracker, StoreEra
+from ._store_records import (
     ChangeSet,
     Deletion,
     Item,
+    Lease,
     LeaseId,
-    PlatformStore,
     Snapshot,
     StoreFailure,
     StoreProblem,
     StoreRevision,
+    WatchPosition,
 )
 
 __all__ = [
@@ -127,11 +129,14 @@
     "ConfigPath",
     "CrashReport",
     "Deletion",
+    "EraChange",
+    "EraTracker",
     "FindingKind",
     "HeaderError",
     "Headers",
     "HedgingSettings",
     "Item",
+    "Lease",
     "LeaseId",
     "LimitReport",
     "PeerAddress",
@@ -143,9 +148,11 @@
     "SettingsError",
     "Snapshot",
     "StageAnswerError",
+    "StoreEra",
     "StoreFailure",
     "StoreProblem",
     "StoreRevision",
+    "WatchPosition",
     "check_config",
     "cleared_key",
     "crash_id_of",
--- a/galenashift/platform/_store.py
+++ b/galenashift/platform/_store.py
@@ -4,18 +4,28 @@
 import binascii
 import json
 import urllib.parse
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from enum import Enum
-from typing import Any, NewType
+from typing import Any
 
+from galenashift.model import UnreadableValue
 from galenashift.store import HttpAnswer, JsonHttpClient, NoAnswer
 
 from ._decoding import DECODING_ERRORS, to_integer
 from ._settings import Address
-
-LeaseId = NewType("LeaseId", int)
-StoreRevision = NewType("StoreRevision", int)
+from ._store_era import EraChange, EraTracker, StoreEra
+from ._store_records import (
+    ChangeSet,
+    Deletion,
+    Item,
+    Lease,
+    LeaseId,
+    Snapshot,
+    StoreFailure,
+    StoreProblem,
+    StoreRevision,
+    WatchPosition,
+)
 
 #: Timeout of calls other than watches, in seconds.
 CALL_TIMEOUT_S = 1.0
@@ -30,81 +40,43 @@
 _CONFLICT = 412
 
 
-class StoreProblem(Enum):
-    """Why a call to the store failed."""
-
-    UNREACHABLE = "unreachable"
-    REFUSED = "refused"
-    HISTORY_GONE = "history-gone"
-    NOT_FOUND = "not-found"
-    CONFLICT = "conflict"
-    MALFORMED = "malformed"
-
-
-@dataclass(frozen=True, kw_only=True)
-class StoreFailure:
-    """A failed call to the store."""
-
-    problem: StoreProblem
-    #: What failed, in one line.
-    detail: str
-    #: Whether the store may have executed the call or may still execute it.
-    may_have_run: bool
-
-
-@dataclass(frozen=True, kw_only=True)
-class Item:
-    """A record in the store."""
-
-    key: str
-    value: bytes
-    #: Revision of the last change.
-    revision: StoreRevision
-
-
-@dataclass(frozen=True, kw_only=True)
-class Deletion:
-    """A record that was deleted or whose lease expired."""
-
-    key: str
-    revision: StoreRevision
-
-
 @dataclass(frozen=True, kw_only=True)
-class Snapshot:
-    """All records under a prefix."""
+class _Answer:
+    """A successful answer."""
 
-    items: tuple[Item, ...]
-    #: Revision after which to watch for changes.
-    revision: StoreRevision
+    body: Mapping[str, Any]
+    era: StoreEra | None
+    transfer_s: float
 
 
-@dataclass(frozen=True, kw_only=True)
-class ChangeSet:
-    """Changes under a prefix, oldest first."""
-
-    changes: tuple[Item | Deletion, ...]
-    #: Revision after which to continue the watch.
-    revision: StoreRevision
-    #: Time that it took to receive and decode the changes, in seconds.
-    transfer_s: float = 0.0
-
-    def without_superseded(self, key: str) -> tuple[Item | Deletion, ...]:
-        """Return the changes without all but the last one of a key."""
-        of_key = [change for change in self.changes if change.key == key]
-        return tuple(change for change in self.changes if change not in of_key[:-1])
+def _ignore(_: EraChange | UnreadableValue) -> None:
+    """Take no notice of an era."""
 
 
 class PlatformStore:
     """Client of the store. Every call has a timeout, and failed calls are not retried.
 
+    A call with a lease or a position of a past era fails with `StoreProblem.PAST_ERA`,
+    and so does one whose answer comes from another era.
+
     :param address: Address of the store.
+    :param on_era_change: Called when the store has come back from an older copy.
+    :param on_unreadable_era: Called once for each value that is no era.
     """
 
-    def __init__(self, *, address: Address) -> None:
+    def __init__(
+        self,
+        *,
+        address: Address,
+        on_era_change: Callable[[EraChange], None] = _ignore,
+        on_unreadable_era: Callable[[UnreadableValue], None] = _ignore,
+    ) -> None:
         url = f"http://{address.host}:{address.port}"
         self._client = JsonHttpClient(url)
         self._watch_client = JsonHttpClient(url)
+        self._eras = EraTracker(
+            on_change=on_era_change, on_unreadable=on_unreadable_era
+        )
 
     async def list_prefix(self, prefix: str) -> Snapshot | StoreFailure:
         """Read all records under a prefix.
@@ -116,57 +88,62 @@
         """
         items: list[Item] = []
         revision: StoreRevision | None = None
+        era: StoreEra | None = None
         after: str | None = None
         while True:
             query = {"prefix": prefix} | ({"after": after} if after else {})
-            answer = await self._get("/galenashift/kv-range", query)
+            answer = await self._get("/galenashift/kv-range", query, era=era)
             if isinstance(answer, StoreFailure):
                 return answer
             try:
-                page = [_parse_item(each) for each in answer["items"]]
+                page = [_parse_item(each) for each in answer.body["items"]]
                 revision = revision or StoreRevision(
-                    to_integer(answer["store_revision"])
+                    to_integer(answer.body["store_revision"])
                 )
-                has_more_pages = bool(answer.get("more_pages"))
+                has_more_pages = bool(answer.body.get("more_pages"))
             except DECODING_ERRORS as error:
                 return _malformed_answer(error)
             items += page
+            era = answer.era
             if not has_more_pages or not page:
-                return Snapshot(items=tuple(items), revision=revision)
+                return Snapshot(items=tuple(items), revision=revision, era=era)
             after = page[-1].key
 
     async def watch(
-        self, *, prefix: str, after: StoreRevision, wait_s: float
+        self, *, prefix: str, position: WatchPosition, wait_s: float
     ) -> ChangeSet | StoreFailure:
         """Wait for changes under a prefix.
 
         :param prefix: Common prefix of the keys.
-        :param after: Last known revision.
+        :param position: Where the watch continues.
         :param wait_s: Maximum time to wait for a change, in seconds.
         """
         query = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(position.after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        result = await self._watch_client.call(
+        answer = await self._call(
+            self._watch_client,
             method="GET",
             path="/galenashift/kv-watch?" + urllib.parse.urlencode(query),
             timeout_s=wait_s + WATCH_MARGIN_S,
+            era=position.era,
         )
-        answer = _parse_answer(result)
         if isinstance(answer, StoreFailure):
             return answer
         try:
-            changes = tuple(_parse_change(each) for each in answer["events"])
-            revision = StoreRevision(to_integer(answer["store_revision"]))
+            return ChangeSet(
+                changes=tuple(_parse_change(each) for each in answer.body["events"]),
+                revision=StoreRevision(to_integer(answer.body["store_revision"])),
+                era=answer.era,
+                transfer_s=answer.transfer_s,
+            )
         except DECODING_ERRORS as error:
             return _malformed_answer(error)
-        transfer_s = result.transfer_s if isinstance(result, HttpAnswer) else 0.0
-        return ChangeSet(changes=changes, revision=revision, transfer_s=transfer_s)
 
     async def put(
-        self, *, key: str, value: bytes, lease: LeaseId
+        self, *, key: str, value: bytes, lease: Lease
     ) -> StoreRevision | StoreFailure:
         """Write a record that is deleted when its lease ends.
 
@@ -175,7 +152,7 @@
         return await self.put_all({key: value}, lease=lease)
 
     async def put_all(
-        self, value_by_key: Mapping[str, bytes], *, lease: LeaseId
+        self, value_by_key: Mapping[str, bytes], *, lease: Lease
     ) -> StoreRevision | StoreFailure:
         """Write records, all or none, that are deleted when their lease ends.
 
@@ -186,14 +163,15 @@
             {
                 "key": key,
                 "value": base64.b64encode(value).decode(),
-                "lease": lease,
+                "lease": lease.lease_id,
             }
             for key, value in value_by_key.items()
         ]
-        answer = await self._post("kv-txn", {"expected": [], "puts": puts})
+        body = {"expected": [], "puts": puts}
+        answer = await self._post("kv-txn", body, era=lease.era)
         if isinstance(answer, StoreFailure):
             return answer
-        number = _parse_integer(answer, "rev")
+        number = _parse_integer(answer.body, "rev")
         return number if isinstance(number, StoreFailure) else StoreRevision(number)
 
     async def compare_and_put(
@@ -218,10 +196,10 @@
         answer = await self._post("kv-txn", {"expected": expected, "puts": puts})
         if isinstance(answer, StoreFailure):
             return answer
-        number = _parse_integer(answer, "rev")
+        number = _parse_integer(answer.body, "rev")
         return number if isinstance(number, StoreFailure) else StoreRevision(number)
 
-    async def grant_lease(self, *, lifetime_s: float) -> LeaseId | StoreFailure:
+    async def grant_lease(self, *, lifetime_s: float) -> Lease | StoreFailure:
         """Create a lease.
 
         :param lifetime_s: Time without a renewal after which the lease expires.
@@ -230,61 +208,111 @@
         answer = await self._post("kv-lease", body)
         if isinstance(answer, StoreFailure):
             return answer
-        number = _parse_integer(answer, "lease")
-        return number if isinstance(number, StoreFailure) else LeaseId(number)
+        number = _parse_integer(answer.body, "lease")
+        if isinstance(number, StoreFailure):
+            return number
+        return Lease(lease_id=LeaseId(number), era=answer.era)
 
-    async def renew_lease(self, lease: LeaseId) -> StoreFailure | None:
+    async def renew_lease(self, lease: Lease) -> StoreFailure | None:
         """Renew a lease; fails with `StoreProblem.NOT_FOUND` if it has expired."""
-        answer = await self._post(f"kv-keep/{lease}", None)
+        answer = await self._post(f"kv-keep/{lease.lease_id}", None, era=lease.era)
         return answer if isinstance(answer, StoreFailure) else None
 
-    async def end_lease(self, lease: LeaseId) -> StoreFailure | None:
+    async def end_lease(self, lease: Lease) -> StoreFailure | None:
         """Revoke a lease, which deletes its records."""
-        result = await self._client.call(
+        answer = await self._call(
+            self._client,
             method="DELETE",
-            path=f"/galenashift/kv-lease-end/{lease}",
+            path=f"/galenashift/kv-lease-end/{lease.lease_id}",
             timeout_s=CALL_TIMEOUT_S,
+            era=lease.era,
         )
-        answer = _parse_answer(result)
         return answer if isinstance(answer, StoreFailure) else None
 
     async def _get(
-        self, path: str, query: Mapping[str, str]
-    ) -> Mapping[str, Any] | StoreFailure:
-        result = await self._client.call(
+        self, path: str, query: Mapping[str, str], *, era: StoreEra | None
+    ) -> _Answer | StoreFailure:
+        return await self._call(
+            self._client,
             method="GET",
             path=f"{path}?{urllib.parse.urlencode(query)}",
             timeout_s=CALL_TIMEOUT_S,
+            era=era,
         )
-        return _parse_answer(result)
 
     async def _post(
-        self, name: str, body: Mapping[str, Any] | None
-    ) -> Mapping[str, Any] | StoreFailure:
-        result = await self._client.call(
+        self,
+        name: str,
+        body: Mapping[str, Any] | None,
+        *,
+        era: StoreEra | None = None,
+    ) -> _Answer | StoreFailure:
+        return await self._call(
+            self._client,
             method="POST",
             path=f"/galenashift/{name}",
-            body=body,
             timeout_s=CALL_TIMEOUT_S,
+            body=body,
             headers={"Content-Type": "application/json"},
+            era=era,
         )
-        return _parse_answer(result)
 
+    async def _call(
+        self,
+        client: JsonHttpClient,
+        *,
+        method: str,
+        path: str,
+        timeout_s: float,
+        era: StoreEra | None,
+        body: Mapping[str, Any] | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> _Answer | StoreFailure:
+        """Make a call.
+
+        :param era: Era to which the numbers in the call belong; None for any.
+        """
+        if self._eras.is_past(era):
+            return _past_era(may_have_run=False)
+        known = self._eras.current
+        result = await client.call(
+            method=method, path=path, timeout_s=timeout_s, body=body, headers=headers
+        )
+        if isinstance(result, NoAnswer):
+            return _unreachable(result)
+        stated = self._eras.observe(result.headers, known=known)
+        if self._eras.is_past(stated) or (era is not None and stated != era):
+            return _past_era(may_have_run=True)
+        body_or_failure = _parse_answer(result)
+        if isinstance(body_or_failure, StoreFailure):
+            return body_or_failure
+        return _Answer(body=body_or_failure, era=stated, transfer_s=result.transfer_s)
+
+
+def _parse_answer(answer: HttpAnswer) -> Mapping[str, Any] | StoreFailure:
+    if answer.status == _OK:
+        return answer.body
+    return StoreFailure(
+        problem=_PROBLEM_BY_STATUS.get(answer.status, StoreProblem.REFUSED),
+        detail=f"HTTP status {answer.status}",
+        may_have_run=False,
+    )
 
-def _parse_answer(result: HttpAnswer | NoAnswer) -> Mapping[str, Any] | StoreFailure:
-    match result:
-        case NoAnswer(sent=sent, detail=detail):
-            return StoreFailure(
-                problem=StoreProblem.UNREACHABLE, detail=detail, may_have_run=sent
-            )
-        case HttpAnswer(status=status, body=body) if status == _OK:
-            return body
-        case HttpAnswer(status=status):
-            return StoreFailure(
-                problem=_PROBLEM_BY_STATUS.get(status, StoreProblem.REFUSED),
-                detail=f"HTTP status {status}",
-                may_have_run=False,
-            )
+
+def _unreachable(result: NoAnswer) -> StoreFailure:
+    return StoreFailure(
+        problem=StoreProblem.UNREACHABLE,
+        detail=result.detail,
+        may_have_run=result.sent,
+    )
+
+
+def _past_era(*, may_have_run: bool) -> StoreFailure:
+    return StoreFailure(
+        problem=StoreProblem.PAST_ERA,
+        detail="the store has come back from an older copy",
+        may_have_run=may_have_run,
+    )
 
 
 _PROBLEM_BY_STATUS = {
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -18,6 +18,7 @@
 
 from ._crash_causes import CRASHES_OF_CAUSE, SuspectedCrashes, find_causes
 from ._known_crash import KnownCrash
+from ._latest_times import LatestTimes
 
 #: Time for which a crash is remembered after it, and after the last request with its
 #: cause, in seconds.
@@ -41,27 +42,6 @@
 _STORE_WAIT_S = 5.0
 #: Crashes that are remembered; the oldest is dropped.
 _MAX_CRASHES = 256
-#: Suspects whose completions are remembered; the least recent is dropped.
-_MAX_COMPLETED = 4_096
-
-
-class _LatestTimes:
-    """The latest time noted for each of the most recent suspects."""
-
-    def __init__(self) -> None:
-        self._at_s: OrderedDict[SuspectId, float] = OrderedDict()
-
-    def note(self, suspect: SuspectId, at_s: float) -> None:
-        self._at_s[suspect] = max(at_s, self.of(suspect))
-        self._at_s.move_to_end(suspect)
-        if len(self._at_s) > _MAX_COMPLETED:
-            self._at_s.popitem(last=False)
-
-    def of(self, suspect: SuspectId) -> float:
-        return self._at_s.get(suspect, -inf)
-
-    def since(self, at_s: float) -> set[SuspectId]:
-        return {suspect for suspect, noted_s in self._at_s.items() if noted_s >= at_s}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -98,7 +78,7 @@
         self._crash_by_id: OrderedDict[CrashId, KnownCrash] = OrderedDict()
         self._quarantine_by_suspect: dict[SuspectId, Quarantine] = {}
         #: When the answer of the last request with a suspect began that completed.
-        self._completed_at_s = _LatestTimes()
+        self._completed_at_s = LatestTimes()
         self._tried_at_s: dict[SuspectId, float] = {}
         #: Whether `decide` has taken all evidence into account.
         self._is_decided = True
@@ -168,14 +148,57 @@
             crash = self._find_or_add(crash_id, now_s=now_s)
             crash.clear(suspect)
             crash.stored_clearances.add(suspect)
+            crash.lost_clearances.discard(suspect)
         self._is_decided = False
 
     def is_stored(self, clearance: Clearance) -> bool:
         """Tell whether daemons have stored that a suspect was cleared of crashes."""
-        return all(
-            clearance.suspect in self._crash_by_id[crash_id].stored_clearances
+        crashes = [
+            self._crash_by_id[crash_id]
             for crash_id in clearance.crash_ids or ()
             if crash_id in self._crash_by_id
+        ]
+        return all(
+            clearance.suspect in each.stored_clearances - each.lost_clearances
+            for each in crashes
+        )
+
+    def forget_stored(self) -> None:
+        """Note that the store may have lost all reports on crashes and clearances."""
+        for crash in self._crash_by_id.values():
+            crash.stored_until_s = 0.0
+            crash.lost_clearances = crash.stored_clearances | crash.queued_clearances
+
+    def is_crash_stored(self, crash_id: CrashId, *, now_s: float) -> bool:
+        """Tell whether the store holds a report of a crash, or it is not known."""
+        crash = self._crash_by_id.get(crash_id)
+        return crash is None or crash.stored_until_s > now_s
+
+    def unstored_crashes(self, *, now_s: float) -> dict[CrashId, CrashSuspects]:
+        """Return the crashes of which the store holds no report, with suspects."""
+        return {
+            crash_id: crash.suspects
+            for crash_id, crash in self._crash_by_id.items()
+            if crash.stored_until_s <= now_s and (crash.not_begun or crash.begun)
+        }
+
+    def lost_clearances(self) -> tuple[Clearance, ...]:
+        """Return the clearances that the store has lost."""
+        lost = {
+            suspect
+            for crash in self._crash_by_id.values()
+            for suspect in crash.lost_clearances
+        }
+        return tuple(
+            Clearance(suspect=suspect, crash_ids=self._crashes_cleared_of(suspect))
+            for suspect in sorted(lost)
+        )
+
+    def _crashes_cleared_of(self, suspect: SuspectId) -> tuple[CrashId, ...]:
+        return tuple(
+            crash_id
+            for crash_id, crash in self._crash_by_id.items()
+            if suspect in crash.cleared
         )
 
     def decide(self, *, now_s: float) -> QuarantineChanges:
@@ -326,19 +349,16 @@
 
         :returns: None if there is nothing to report, or it was returned before.
         """
-        cleared = {
-            crash_id: crash
-            for crash_id, crash in self._crash_by_id.items()
-            if suspect in crash.cleared
-        }
+        crash_ids = self._crashes_cleared_of(suspect)
+        cleared = [self._crash_by_id[crash_id] for crash_id in crash_ids]
         unreported = [
-            each for each in cleared.values() if not each.is_clearance_reported(suspect)
+            each for each in cleared if not each.is_clearance_reported(suspect)
         ]
         if len(unreported) < _CRASHES_TO_REPORT_CLEARED:
             return None
         for crash in unreported:
             crash.queued_clearances.add(suspect)
-        return Clearance(suspect=suspect, crash_ids=tuple(cleared))
+        return Clearance(suspect=suspect, crash_ids=crash_ids)
 
     def _has_completed(self, suspect: SuspectId) -> bool:
         """Tell whether a request with a suspect has completed at any daemon."""
--- a/galenashift/retries/_known_crash.py
+++ b/galenashift/retries/_known_crash.py
@@ -22,6 +22,8 @@
     #: Those of which this daemon reports it, and those of which the store knows it.
     queued_clearances: set[SuspectId] = field(default_factory=set)
     stored_clearances: set[SuspectId] = field(default_factory=set)
+    #: Those that the store knew and has lost.
+    lost_clearances: set[SuspectId] = field(default_factory=set)
 
     @property
     def suspects(self) -> CrashSuspects:
--- a/standins/_platform_store.py
+++ b/standins/_platform_store.py
@@ -4,7 +4,7 @@
 import json
 import urllib.parse
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import trio
@@ -17,6 +17,7 @@
 _CONFLICT = 412
 _UNAVAILABLE = 503
 _FIRST_REVISION = 10
+_FIRST_ERA = 3
 _LEASE_SWEEP_INTERVAL_S = 0.05
 
 
@@ -34,6 +35,17 @@
     ends_at_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """Records, leases and history of the store at some time."""
+
+    records: dict[str, _Record]
+    leases: dict[int, _Lease]
+    history: tuple[tuple[int, str], ...]
+    revision: int
+    compacted_revision: int
+
+
 class PlatformStore:
     """The store; records are kept until they are deleted or their lease ends.
 
@@ -48,6 +60,8 @@
         self._revision = _FIRST_REVISION
         self._compacted_revision = _FIRST_REVISION
         self._changed = trio.Event()
+        #: Rises whenever the store comes back from a copy; stated in each answer.
+        self.era = _FIRST_ERA
         #: Number of calls so far.
         self.calls = 0
         #: Whether all calls are answered 503.
@@ -84,14 +98,43 @@
         """List the keys with a prefix."""
         return sorted(key for key in self._records if key.startswith(prefix))
 
+    def copy(self) -> StoreCopy:
+        """Return a copy, from which the store can come back later."""
+        return StoreCopy(
+            records={key: replace(each) for key, each in self._records.items()},
+            leases={number: replace(each) for number, each in self._leases.items()},
+            history=tuple(self._history),
+            revision=self._revision,
+            compacted_revision=self._compacted_revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: later writes and leases are gone.
+
+        Revisions and leases are given out again, and waiting watches are cut.
+        """
+        self._records = {key: replace(each) for key, each in copy.records.items()}
+        self._leases = {number: replace(each) for number, each in copy.leases.items()}
+        for lease in self._leases.values():
+            lease.ends_at_s = self._clock() + lease.lifetime_s
+        self._history = list(copy.history)
+        self._revision = copy.revision
+        self._compacted_revision = copy.compacted_revision
+        self.era += 1
+        self._notify()
+
     def compact_history(self) -> None:
         """Drop the history, so that watches from an earlier revision get 410."""
         self._compacted_revision = self._revision
-        self._changed.set()
-        self._changed = trio.Event()
+        self._notify()
 
     async def answer(self, request: Request) -> Reply:
         """Answer an HTTP request."""
+        reply = await self._answer(request)
+        reply.headers["store-era"] = str(self.era)
+        return reply
+
+    async def _answer(self, request: Request) -> Reply:
         self.calls += 1
         if self.delay_s:
             await trio.sleep(self.delay_s)
@@ -139,14 +182,20 @@
 
     async def _watch(self, query: dict[str, str]) -> Reply:
         prefix, after = query.get("prefix", ""), int(query["after"])
+        era = self.era
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
-            while not self._events(prefix, after) and after >= self._compacted_revision:
+            while not self._events(prefix, after) and self._has_history(after):
                 await self._changed.wait()
-        if after < self._compacted_revision:
+                if self.era != era:
+                    raise Reset
+        if not self._has_history(after):
             return Reply(status=_GONE)
         events = self._events(prefix, after)
         return _json(_OK, {"events": events, "store_revision": self._revision})
 
+    def _has_history(self, after: int) -> bool:
+        return self._compacted_revision <= after <= self._revision
+
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         keys = dict.fromkeys(
             key
@@ -208,6 +257,9 @@
     def _record_change(self, key: str) -> None:
         self._revision += 1
         self._history.append((self._revision, key))
+        self._notify()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
