Count an answer as over only when its last byte is written

Cause: callers that send ahead and read slowly got parts of other answers inside a 200. The responder noted the end of an answer before it was written. The deadline of the request cancelled the write halfway; the connection was kept, and the next answer followed the part. Change: the end is noted after the write, so that a connection whose write was cancelled is closed. The deadline no longer cancels the write of a whole answer: it bounds the work for it, and the limits on callers bound slow reading.

--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -339,7 +339,7 @@
                     return await self._give_up(job, responder, failure)
                 if head.status < _REDIRECTION:
                     self._crash_policy.complete(job, began_at_s=writer.began_at_s)
-                await _deliver(responder, outcome)
+                await self._deliver(job, responder, outcome)
                 return None
             case StreamEnded(complete=True, started=started):
                 if started:
@@ -375,9 +375,19 @@
     ) -> Failure | None:
         if job.fallback_answer is None or responder.status is not None:
             return failure
-        await _deliver(responder, job.fallback_answer)
+        await self._deliver(job, responder, job.fallback_answer)
         return None
 
+    async def _deliver(
+        self, job: ActiveRequest, responder: Responder, answer: Answered
+    ) -> None:
+        self.open_requests.lift_deadline(job)
+        await responder.answer(
+            status=answer.head.status,
+            headers=encode_answer(answer.head.headers),
+            body=answer.body,
+        )
+
 
 @dataclass(frozen=True)
 class _Retry:
@@ -385,8 +395,3 @@
 
 
 _RETRY = _Retry()
-
-
-async def _deliver(responder: Responder, answer: Answered) -> None:
-    headers = encode_answer(answer.head.headers)
-    await responder.answer(status=answer.head.status, headers=headers, body=answer.body)
--- a/galenashift/gateway/_responder.py
+++ b/galenashift/gateway/_responder.py
@@ -52,6 +52,8 @@
         self._closing = closing
         #: Status of the answer; None until its head is written.
         self.status: int | None = None
+        #: Whether the answer was written to its last byte. Until then, nothing else may
+        #: be written to the connection.
         self.finished = False
 
     async def answer(self, *, status: int, headers: Headers, body: bytes) -> None:
@@ -68,8 +70,8 @@
             content = self._parser.send(h11.Data(data=body)) or b""
             data = data + content if data else content
         data += self._parser.send(h11.EndOfMessage()) or b""
-        self.finished = True
         await self._write(data)
+        self.finished = True
 
     async def fail(self, failure: Failure, *, status: int | None = None) -> None:
         """Write a failure as a JSON document with its reason and verdict.
@@ -102,8 +104,8 @@
 
         :raises CallerGone: If the caller has closed the connection.
         """
-        self.finished = True
         await self._write(self._parser.send(h11.EndOfMessage()) or b"")
+        self.finished = True
 
     def _head(self, status: int, headers: Headers) -> bytes:
         if self._closing():
--- a/galenashift/gateway/tests/relay_fakes.py
+++ b/galenashift/gateway/tests/relay_fakes.py
@@ -144,14 +144,22 @@
 
 
 class FakeResponder:
-    def __init__(self):
+    """Notes an answer.
+
+    :param write_s: Time that it takes to write an answer, in seconds.
+    """
+
+    def __init__(self, write_s=0.0):
+        self.write_s = write_s
         self.status = None
         self.finished = False
         self.body = b""
         self.retry_after_s = None
 
     async def answer(self, *, status, headers, body):
-        self.status, self.body, self.finished = status, body, True
+        self.status = status
+        await trio.sleep(self.write_s)
+        self.body, self.finished = body, True
 
     async def fail(self, failure, *, status=None):
         self.status = failure.http_status
@@ -248,6 +256,7 @@
     upstreams=3,
     refuse_after_s=None,
     end_after_s=None,
+    write_s=0.0,
     statements=(),
     bounds=None,
     wait_ms=1500,
@@ -271,13 +280,14 @@
     :param spread: Spreads requests over upstreams, if given.
     :param refuse_after_s: Time after which the relay refuses unsent requests.
     :param end_after_s: Time after which the relay fails unanswered requests.
+    :param write_s: Time that it takes to write the answer, in seconds.
     :param exchanger: Replaces the fake one.
     :param leave_after_s: Time after which the caller leaves.
     :param prepare: Changes the view and the health records before the request.
     :param requests: Number of requests, one after the other.
     """
     exchanger = exchanger or FakeExchanger(*outcomes, stream_s=stream_s)
-    responder = FakeResponder()
+    responder = FakeResponder(write_s)
 
     async def run():
         clock = trio.current_time
@@ -347,7 +357,7 @@
         if refuse_after_s is None and end_after_s is None:
             for _ in range(requests):
                 request = replace(request, arrived_at_s=clock())
-                responder.__init__()
+                responder.__init__(write_s)
                 await relay.handle(request, responder)
             return clock()
         async with trio.open_nursery() as nursery:
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -414,3 +414,10 @@
     _, responder = serve("stream", outcome, stream_s=0.75, end_after_s=0.7)
     assert responder.body == EVENTS
     assert responder.finished
+
+
+def test_answer_that_is_ready_is_written_past_the_deadline():
+    # The deadline cancelled the write of a whole answer to a caller that reads slowly.
+    _, responder = serve("read", answered(200), write_s=5.0)
+    assert responder.finished
+    assert responder.elapsed_s == pytest.approx(5.0)
