Answer HEAD requests without a body

Cause: a failure of the daemon's own had a body, which the parser refuses for HEAD. The connection closed without an answer. Change: the responder writes only the head of the answer, with the length that the body would have. Figures: test_failure_of_a_head_request_has_no_body fails on the code before and passes with the change.

--- a/galenashift/gateway/_caller.py
+++ b/galenashift/gateway/_caller.py
@@ -47,6 +47,7 @@
 _HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 #: Time after which a caller that was cut off may try again, in seconds.
 _RETRY_AFTER_S = 1.0
+_HEAD = "HEAD"
 _REQUEST_TIMEOUT = 408
 _UNAVAILABLE = 503
 
@@ -171,7 +172,12 @@
         if request is None:
             return False
         parser = self._reader.parser
-        responder = Responder(write=self._write, parser=parser, closing=self._draining)
+        responder = Responder(
+            write=self._write,
+            parser=parser,
+            closing=self._draining,
+            has_body=request.method != _HEAD,
+        )
         await self._handle(request, responder)
         if not responder.finished or parser.our_state is not h11.DONE:
             return False
--- a/galenashift/gateway/_responder.py
+++ b/galenashift/gateway/_responder.py
@@ -38,6 +38,7 @@
     :param write: Writes bytes to the caller; raises `CallerGone`.
     :param parser: Parser of the connection.
     :param closing: Tells whether the connection is closed after this answer.
+    :param has_body: Whether an answer has a body; not so for the method HEAD.
     """
 
     def __init__(
@@ -46,10 +47,12 @@
         write: Callable[[bytes], Awaitable[None]],
         parser: h11.Connection,
         closing: Callable[[], bool],
+        has_body: bool = True,
     ) -> None:
         self._write = write
         self._parser = parser
         self._closing = closing
+        self._has_body = has_body
         #: Status of the answer; None until its head is written.
         self.status: int | None = None
         #: Whether the answer was written to its last byte. Until then, nothing else may
@@ -57,12 +60,14 @@
         self.finished = False
 
     async def answer(self, *, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete answer.
+        """Write a complete answer; of one without a body, only the head.
 
         :raises CallerGone: If the caller has closed the connection.
         """
         length = (b"content-length", b"%d" % len(body))
         data = self._head(status, [*headers, length])
+        if not self._has_body:
+            body = b""
         if len(body) > _COPY_BYTES:
             await self._write(data)
             data = b""
--- a/galenashift/gateway/tests/test_caller.py
+++ b/galenashift/gateway/tests/test_caller.py
@@ -394,3 +394,19 @@
     assert was_cut is (size > 1_000_000)
     assert len(handler.requests) == (1 if was_cut else 3)
     assert received.count(b"HTTP/1.1") == len(handler.requests)
+
+
+def test_failure_of_a_head_request_has_no_body():
+    # The parser refused the body, and the connection closed without an answer.
+    async def respond(request, responder):
+        await responder.fail(not_run(reason=Reason.UNKNOWN_PIPELINE, detail="none"))
+
+    async def scenario(stream):
+        await stream.send_all(b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n" * 2)
+        await stream.send_eof()
+        return await read_all(stream)
+
+    received = run_as_caller(Handler(respond), scenario)
+    assert received.count(b"HTTP/1.1 404") == 2
+    assert b"content-length: 0" not in received
+    assert b"{" not in received
