Ask whether the upstream lives when an answer without a length ends

Cause: the connections of a killed process end as after a regular close. A stream without a length or chunks that ended between two events counted as complete, and its caller did not get the rest. Change: after such an end, the daemon waits 20 ms and connects to the upstream's address. If no process listens, the answer has been broken off. An upstream that has said that it is shutting down is not asked.

--- a/galenashift/gateway/_exchange.py
+++ b/galenashift/gateway/_exchange.py
@@ -22,6 +22,7 @@
     ConnectFailed,
     ConnectionFailed,
     UpstreamConnection,
+    open_socket,
 )
 from ._outcomes import Answered, Broken, NotSent, Outcome, Refused, Silent, StreamEnded
 from ._pool import ConnectionPool
@@ -31,6 +32,9 @@
 #: Largest answer to an earlier request that is read and skipped, in bytes.
 _MAX_SKIPPED_BYTES = 65_536
 
+#: Time in which the kernel closes all sockets of a killed process, in seconds.
+_SOCKETS_CLOSE_S = 0.02
+
 _OK = 200
 _MISDIRECTED = 421
 
@@ -143,6 +147,7 @@
                 timeouts=timeouts,
                 sink=sink,
                 is_whole=is_whole,
+                has_ended=partial(self._has_ended, upstream),
                 on_fields=partial(
                     self._limiter.record_answer,
                     upstream,
@@ -158,6 +163,21 @@
             else:
                 connection.close()
 
+    async def _has_ended(self, upstream: RegisteredUpstream) -> bool:
+        """Tell whether the process of an upstream has ended unexpectedly.
+
+        One that is shutting down may exit right after its last answer.
+        """
+        if self._limiter.is_draining(upstream):
+            return False
+        await trio.sleep(_SOCKETS_CLOSE_S)
+        try:
+            sock = await open_socket(host=upstream.host, port=upstream.port)
+        except ConnectFailed as error:
+            return error.refused
+        sock.close()
+        return False
+
     async def _send_and_read(
         self,
         connection: UpstreamConnection,
@@ -205,6 +225,7 @@
     The upstream may answer before it has read the whole request body, so the answer is
     read while the request is being sent.
 
+    :param has_ended: Tells whether the process of the upstream is known to have ended.
     :param on_fields: Receives the metadata of the answer as soon as its head arrives,
         unless another upstream sent it.
     """
@@ -217,6 +238,7 @@
         timeouts: ExchangeTimeouts,
         sink: StreamSink | None,
         is_whole: Callable[[], bool],
+        has_ended: Callable[[], Awaitable[bool]],
         on_fields: Callable[[AnswerFields], None],
     ) -> None:
         self._connection = connection
@@ -224,6 +246,7 @@
         self._timeouts = timeouts
         self._sink = sink
         self._is_whole = is_whole
+        self._has_ended = has_ended
         self._on_fields = on_fields
         self._started = False
         #: Whether the body has any data.
@@ -264,6 +287,7 @@
         if self._sink is not None and head.status == _OK:
             return await self._stream(head, self._sink, scope)
         body = await self._read_rest()
+        await self._check_process(head)
         return Answered(head=head, fields=fields, body=body)
 
     async def _read_matching_head(self) -> tuple[AnswerHead, AnswerFields]:
@@ -318,6 +342,7 @@
                 now_s=trio.current_time(),
             )
         self._check_end(head)
+        await self._check_process(head)
         if not self._has_data:
             # The caller gets the head, for example of a stream that it resumes after
             # the last event.
@@ -335,3 +360,14 @@
             raise ConnectionFailed("the stream ended inside an event", reset=True)
         if not self._has_data and not head.states_end:
             raise ConnectionFailed("the connection ended before any data", reset=True)
+
+    async def _check_process(self, head: AnswerHead) -> None:
+        """Check that an answer without a length or chunks did not end by a crash.
+
+        The connections of a killed process end like those of a sound one, also between
+        two events, but its address then refuses new ones.
+
+        :raises ConnectionFailed: If the process has ended.
+        """
+        if not head.states_end and await self._has_ended():
+            raise ConnectionFailed("the upstream ended with its answer", reset=True)
--- a/galenashift/gateway/tests/test_broken_answers.py
+++ b/galenashift/gateway/tests/test_broken_answers.py
@@ -140,6 +140,19 @@
             pytest.fail(f"{outcome}")
 
 
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_answer_that_ends_with_its_upstream_is_broken_off(is_stream):
+    # An upstream was killed between two events. Without a length, its stream ended like
+    # a complete one, and the caller got it as such.
+    script = ("read", UNFRAMED_HEAD, EVENT, "stop-listening", "close")
+    options = {"sink": keep_nothing} if is_stream else {}
+    outcome = run_exchange(
+        Upstream(script), lambda exchange: exchange(request=new_request(), **options)
+    )
+    assert isinstance(outcome, Broken)
+    assert outcome.reset
+
+
 #: Larger than the socket buffers, so that the upstream resets the connection first.
 UPLOAD = b"x" * 16_000_000
 
--- a/galenashift/gateway/tests/test_exchange.py
+++ b/galenashift/gateway/tests/test_exchange.py
@@ -44,20 +44,29 @@
     """A server that runs one script per connection.
 
     The steps are ``read``, ``read-all``, ``close``, ``close-write``, ``reset``,
-    ``hang``, bytes to write, a pause in seconds, or a tuple of bytes to write and the
-    time for which the process is then blocked, in seconds.
+    ``hang``, ``stop-listening``, bytes to write, a pause in seconds, or a tuple of
+    bytes to write and the time for which the process is then blocked, in seconds.
     """
 
     def __init__(self, *scripts):
         self.scripts = list(scripts)
         self.received = []
         self.connections = 0
+        self.accepting = trio.CancelScope()
+        self.listeners = []
+
+    async def accept(self, nursery):
+        """Accept connections until a script stops it."""
+        with self.accepting:
+            await trio.serve_listeners(
+                self.serve, self.listeners, handler_nursery=nursery
+            )
 
     async def serve(self, stream):
         self.connections += 1
         # The daemon may break off the answer.
         with contextlib.suppress(trio.BrokenResourceError):
-            await self._play(stream, self.scripts.pop(0))
+            await self._play(stream, self.scripts.pop(0) if self.scripts else ())
         stream.socket.close()
 
     async def _play(self, stream, script):
@@ -71,6 +80,10 @@
                     pass
             elif step == "close-write":
                 await stream.send_eof()
+            elif step == "stop-listening":
+                self.accepting.cancel()
+                for listener in self.listeners:
+                    listener.socket.close()
             elif isinstance(step, tuple):
                 # Block the whole process right after the bytes have arrived.
                 os.write(stream.socket.fileno(), step[0])
@@ -104,7 +117,8 @@
         async with trio.open_nursery() as nursery:
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             port = listeners[0].socket.getsockname()[1]
-            nursery.start_soon(partial(trio.serve_listeners, upstream.serve, listeners))
+            upstream.listeners = listeners
+            nursery.start_soon(upstream.accept, nursery)
             result = await scenario(exchanger, registration_at(port))
             nursery.cancel_scope.cancel()
         return result
