Show an upstream that gets more than the limit it states

Cause: daemons whose registration was replaced by a late write stay unregistered, and divide a stated limit differently from the others. The limit shows it with the usual number of requests, so that it takes the place of the allowance of cold upstreams. Ports of the stand-ins lie below those that the kernel gives out, and a case that can't run exits with 2.

--- a/review/kit_3.py
+++ b/review/kit_3.py
@@ -479,11 +479,23 @@
 # --- daemons ---
 
 
+#: Ports below those that the kernel gives to outgoing connections.
+_PORTS = range(12_000, 32_000)
+_given: set[int] = set()
+
+
 def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free now, and that was not returned before."""
+    while True:
+        port = _numbers.choice(_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            return port
 
 
 @dataclass
@@ -594,6 +606,7 @@
             if all(states) and len(self.store.keys("daemons/")) >= len(self.daemons):
                 return True
             await asyncio.sleep(0.1)
+        self.note("the daemons did not become ready")
         return False
 
     def start_engine(self, *arguments: str) -> subprocess.Popen[bytes]:
@@ -639,6 +652,9 @@
         except TimeoutError:
             case.note("the case did not end in time")
             return NOT_RUN
+        except Exception as error:
+            case.note(f"the case failed: {error!r}")
+            return NOT_RUN
         finally:
             case.end()
 
@@ -730,6 +746,8 @@
         self.work_s = work_s
         #: Requests in one second above which a cold engine crashes.
         self.crash_above = crash_above
+        #: Requests per second that it says it takes; None to say nothing.
+        self.stated_limit: float | None = None
         #: Clock until which it is cold.
         self.cold_until = 0.0
         self.crashed = False
@@ -788,17 +806,14 @@
             await asyncio.sleep(self.work_s)
         finally:
             self._running -= 1
-        writer.write(
-            answer(
-                200,
-                f"result of {attempt}".encode(),
-                [
-                    ("Galenashift-Attempt-Id", attempt),
-                    ("Galenashift-Engine-Signature", signature()),
-                    ("Galenashift-Instance-Load", f"{self._running},0,128"),
-                ],
-            )
-        )
+        headers = [
+            ("Galenashift-Attempt-Id", attempt),
+            ("Galenashift-Engine-Signature", signature()),
+            ("Galenashift-Instance-Load", f"{self._running},0,128"),
+        ]
+        if self.stated_limit is not None:
+            headers.append(("Server-Limit", f"{self.stated_limit:g}"))
+        writer.write(answer(200, f"result of {attempt}".encode(), headers))
         await writer.drain()
         return True
 
