Try quarantined parts until a request shows whether they are sound

The single trial of the part was noted as used when its request was admitted, while no upstream was up, and daemons that start had seen no request with the part complete, and allowed no trial at all. Ruled out: clearing the suspects of crashes that come together, as a burst of requests with a part that crashes upstreams looks the same. Change: a trial ends with its request, and one that no upstream received is left to the next. Reports on crashes say which suspects had completed before and which were on trial. The delay of trials doubles without an end. Other daemons take their turn if the first one gets no such request, requests with several quarantined parts are tried after those with one, and Retry-After is the time until the next trial. The known crashes and the trials are modules of their own. Conclusion: every refusal has an end that does not need the requests that it refuses.

--- a/galenashift/gateway/_crash_policy.py
+++ b/galenashift/gateway/_crash_policy.py
@@ -2,10 +2,10 @@
 
 import trio
 
-from galenashift.model import CrashSuspects, Failure, RegisteredUpstream
-from galenashift.retries import Quarantine
+from galenashift.model import CrashSuspects, Failure, RegisteredUpstream, SuspectId
+from galenashift.retries import Trial, TrialEnd
 
-from ._crashes import CrashGuard, Trial
+from ._crashes import CrashGuard, Refusal
 from ._failures import quarantine_failure
 from ._outcomes import Broken, Outcome, StreamEnded
 from ._request import ActiveRequest
@@ -26,22 +26,35 @@
         if not self._crashes.has_crashes:
             return None
         match self._crashes.admit(job.suspects):
-            case Quarantine() as quarantine:
-                return quarantine_failure(job.verdict, quarantine)
-            case Trial():
-                job.on_trial = True
+            case Refusal() as refusal:
+                return quarantine_failure(job.verdict, refusal)
+            case Trial() as trial:
+                job.trial = trial
                 return None
             case None:
                 return None
 
+    def end_trial(self, job: ActiveRequest) -> None:
+        """Note that a request has ended, if it was on trial.
+
+        Otherwise its quarantine would last as long as such requests come.
+        """
+        if job.trial is None:
+            return
+        if job.may_have_run:
+            how = TrialEnd.MAY_HAVE_RUN
+        elif job.tried:
+            how = TrialEnd.NOT_EXECUTED
+        else:
+            how = TrialEnd.NOT_SENT
+        self._crashes.end_trial(job.trial, how)
+
     def refusal_before_send(self, job: ActiveRequest) -> Failure | None:
         """Return the failure by a quarantine that began after `refusal`, if any."""
         if job.on_trial or not self._crashes.has_crashes:
             return None
-        quarantine = self._crashes.find_quarantine(job.suspects)
-        if quarantine is None:
-            return None
-        return quarantine_failure(job.verdict, quarantine)
+        refusal = self._crashes.find_refusal(job.suspects)
+        return None if refusal is None else quarantine_failure(job.verdict, refusal)
 
     def is_suspected(self, job: ActiveRequest) -> bool:
         """Tell whether a request is on trial, or one more crash could refuse it."""
@@ -64,11 +77,12 @@
 
         :param now_s: Boot-time clock, in seconds.
         """
+        tried = frozenset[SuspectId]() if job.trial is None else job.trial.suspects
         match outcome:
             case Broken(reset=True):
-                suspects = CrashSuspects(not_begun=job.suspects, begun={})
+                suspects = CrashSuspects(not_begun=job.suspects, begun={}, tried=tried)
             case StreamEnded(complete=False, started=True):
-                suspects = CrashSuspects(not_begun={}, begun=job.suspects)
+                suspects = CrashSuspects(not_begun={}, begun=job.suspects, tried=tried)
             case _:
                 return None
         suspicion = Suspicion(
--- a/galenashift/gateway/_crashes.py
+++ b/galenashift/gateway/_crashes.py
@@ -1,13 +1,12 @@
 """Detects crashes of upstreams, and refuses requests with what causes them."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
 
 import trio
 
-from galenashift.membership import rank_daemons
 from galenashift.model import (
     Clearance,
     CrashId,
@@ -26,7 +25,7 @@
     encode_cleared,
     encode_crash,
 )
-from galenashift.retries import Quarantine
+from galenashift.retries import Quarantine, Trial, TrialEnd
 from galenashift.telemetry import EventLog, Metrics
 
 from ._connection import ConnectFailed, open_socket
@@ -61,10 +60,12 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Trial:
-    """A request that is sent to find out whether a quarantine is right."""
+class Refusal:
+    """Why a request is refused."""
 
-    suspect: SuspectId
+    quarantine: Quarantine
+    #: Time until a request like it may be tried, in seconds.
+    trial_wait_s: float
 
 
 def fingerprint(
@@ -125,31 +126,55 @@
         """Whether any crash is known."""
         return self._evidence.has_crashes
 
-    def admit(self, suspects: Mapping[SuspectId, int]) -> Quarantine | Trial | None:
-        """Return the quarantine that refuses a new request, or None if it may be sent.
+    def admit(self, suspects: Mapping[SuspectId, int]) -> Refusal | Trial | None:
+        """Return why a new request is refused, or None if it may be sent.
 
-        :returns: A `Trial` if it may be sent in spite of a quarantine.
+        :returns: A `Trial` if it may be sent in spite of its quarantines; `end_trial`
+            must be called in the end.
         """
         self._decide()
         quarantines = self._evidence.find_quarantines(suspects)
         if not quarantines:
             return None
-        quarantine = quarantines[0]
-        # With two suspects, a trial of one may crash the upstream by the other.
-        if len(quarantines) == 1 and self._tries(quarantine):
+        trial = self._begin_trial(quarantines)
+        return self._refuse(quarantines) if trial is None else trial
+
+    def _begin_trial(self, quarantines: Sequence[Quarantine]) -> Trial | None:
+        """Return a trial if it is this daemon's turn to try a request."""
+        now_s = self._clock()
+        if self._evidence.trial_wait_s(quarantines, now_s=now_s) > 0:
+            return None
+        turn = report_turn(
+            key=quarantines[0].suspect,
+            daemon_id=self._daemon_id,
+            daemons=self._view.peers_by_id.keys() | {self._daemon_id},
+        )
+        trial = self._evidence.begin_trial(quarantines, turn=turn, now_s=now_s)
+        if trial is None:
+            return None
+        for each in quarantines:
             self._events.warning(
                 "quarantine-tried",
-                suspect=quarantine.suspect,
-                crashes=quarantine.crashes,
+                suspect=each.suspect,
+                crashes=each.crashes,
+                turn=turn,
+                last_crash_s=now_s - each.last_crash_at_s,
             )
-            return Trial(suspect=quarantine.suspect)
-        return self._refuse(quarantine, suspects)
+        return trial
+
+    def end_trial(self, trial: Trial, how: TrialEnd) -> None:
+        """Note that a request on trial has ended."""
+        now_s = self._clock()
+        self._evidence.end_trial(trial, how, now_s=now_s)
+        self._events.info(
+            "quarantine-trial-ended", suspects=",".join(trial.suspects), how=how
+        )
 
-    def find_quarantine(self, suspects: Mapping[SuspectId, int]) -> Quarantine | None:
-        """Return the quarantine of a request that was admitted before, if any."""
+    def find_refusal(self, suspects: Mapping[SuspectId, int]) -> Refusal | None:
+        """Return why a request that was admitted before is refused, if it is."""
         self._decide()
         quarantines = self._evidence.find_quarantines(suspects)
-        return self._refuse(quarantines[0], suspects) if quarantines else None
+        return self._refuse(quarantines) if quarantines else None
 
     def _decide(self) -> None:
         changes = self._evidence.decide(now_s=self._clock())
@@ -163,25 +188,15 @@
         for suspect in changes.lifted:
             self._events.warning("quarantine-lifted", suspect=suspect)
 
-    def _tries(self, quarantine: Quarantine) -> bool:
-        """Tell whether this daemon tries one request in spite of a quarantine."""
-        ranked = rank_daemons(
-            key=quarantine.suspect, daemons=self._view.peers_by_id, count=1
-        )
-        if ranked != (self._daemon_id,):
-            return False
-        return self._evidence.begin_trial(quarantine, now_s=self._clock())
-
-    def _refuse(
-        self, quarantine: Quarantine, suspects: Mapping[SuspectId, int]
-    ) -> Quarantine:
+    def _refuse(self, quarantines: Sequence[Quarantine]) -> Refusal:
         """Keep a quarantine in force while requests with its suspect come."""
         self._metrics.count("quarantine_refusals_total")
-        for crash_id in self._evidence.extend(quarantine, now_s=self._clock()):
-            depth = suspects[quarantine.suspect]
-            kept = CrashSuspects(not_begun={quarantine.suspect: depth}, begun={})
-            self._report(crash_id, kept)
-        return quarantine
+        now_s = self._clock()
+        kept = self._evidence.extend(quarantines[0], now_s=now_s)
+        for crash_id, suspects in kept.items():
+            self._report(crash_id, suspects)
+        wait_s = self._evidence.trial_wait_s(quarantines, now_s=now_s)
+        return Refusal(quarantine=quarantines[0], trial_wait_s=wait_s)
 
     def is_suspected(
         self, suspects: Mapping[SuspectId, int], *, had_begun: bool
@@ -275,8 +290,8 @@
     def _record(self, suspicion: Suspicion) -> None:
         self._metrics.count("upstream_crashes_total")
         crash_id = crash_id_of(suspicion.upstream)
-        self._evidence.record_crash(crash_id, suspicion.suspects, now_s=suspicion.at_s)
-        own = suspicion.suspects
+        own = self._evidence.with_completed(suspicion.suspects)
+        self._evidence.record_crash(crash_id, own, now_s=suspicion.at_s)
         earlier = self._own_suspects_by_crash.get(crash_id)
         if earlier is not None:
             own = earlier.merged(own)
--- a/galenashift/gateway/_failures.py
+++ b/galenashift/gateway/_failures.py
@@ -1,8 +1,8 @@
 """Failures that are reported to callers."""
 
 from galenashift.model import Failure, Reason, Verdict, may_have_run, not_run
-from galenashift.retries import Quarantine
 
+from ._crashes import Refusal
 from ._outcomes import Broken, Outcome, Silent, StreamEnded
 from ._router import LimitWait
 from ._stage_outcome import StageFailed, StageProblem
@@ -15,8 +15,10 @@
 #: ``Retry-After`` of a request that is refused in a shutdown, in seconds. A new
 #: connection of the caller reaches another daemon.
 SHUTDOWN_RETRY_AFTER_S = 0.05
-#: ``Retry-After`` of a quarantined request, in seconds.
-QUARANTINE_RETRY_AFTER_S = 60.0
+#: Shortest and longest ``Retry-After`` of a quarantined request, in seconds. Such
+#: requests are served once a trial has completed.
+_MIN_QUARANTINE_RETRY_AFTER_S = 1.0
+_MAX_QUARANTINE_RETRY_AFTER_S = 60.0
 
 
 def stage_failure(failed: StageFailed, *, verdict: Verdict) -> Failure:
@@ -160,16 +162,18 @@
     )
 
 
-def quarantine_failure(verdict: Verdict, quarantine: Quarantine) -> Failure:
+def quarantine_failure(verdict: Verdict, refusal: Refusal) -> Failure:
     """Return the failure of a request that is like others that crashed upstreams.
 
     :param verdict: Verdict on the earlier attempts.
     """
+    quarantine = refusal.quarantine
     detail = f"{quarantine.suspect} has crashed {quarantine.crashes} upstreams"
     if verdict is not Verdict.NOT_RUN:
         return may_have_run(reason=Reason.UPSTREAM_FAILED, detail=detail)
+    wait_s = max(_MIN_QUARANTINE_RETRY_AFTER_S, refusal.trial_wait_s)
     return not_run(
         reason=Reason.OVERLOADED,
         detail=detail,
-        retry_after_s=QUARANTINE_RETRY_AFTER_S,
+        retry_after_s=min(_MAX_QUARANTINE_RETRY_AFTER_S, wait_s),
     )
--- a/galenashift/gateway/_relay.py
+++ b/galenashift/gateway/_relay.py
@@ -138,6 +138,8 @@
         except BaseException:
             self._log.caller_left(job, responder)
             raise
+        finally:
+            self._crash_policy.end_trial(job)
         if failure is not None and responder.status is None:
             self._log.failed(job, failure)
             await responder.fail(failure)
--- a/galenashift/gateway/_request.py
+++ b/galenashift/gateway/_request.py
@@ -21,6 +21,7 @@
     not_run,
 )
 from galenashift.platform import HeaderError, decode_request, find_header
+from galenashift.retries import Trial
 
 from ._caller import CallerRequest
 from ._crashes import fingerprint
@@ -55,8 +56,8 @@
     #: Upstreams to which the request could not be sent.
     unreachable: set[UpstreamId] = field(default_factory=set)
     verdict: Verdict = Verdict.NOT_RUN
-    #: Whether it is sent in spite of a quarantine, to find out whether that is right.
-    on_trial: bool = False
+    #: Set if it is sent in spite of quarantines, to find out whether they are right.
+    trial: Trial | None = None
     #: Upstreams that may have received it and whose outcomes are not known yet.
     in_flight: set[UpstreamId] = field(default_factory=set)
     #: Whether it was given up before its deadline, as the process ends.
@@ -106,6 +107,11 @@
         if answer.is_failure and answer.is_deliverable:
             self.fallback_answer = answer
 
+    @property
+    def on_trial(self) -> bool:
+        """Whether it is sent in spite of a quarantine."""
+        return self.trial is not None
+
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have executed the request or may be executing it."""
--- a/galenashift/gateway/tests/test_relay.py
+++ b/galenashift/gateway/tests/test_relay.py
@@ -20,6 +20,7 @@
     serve,
 )
 from galenashift.platform import decode_answer
+from galenashift.retries import Trial, TrialEnd
 
 
 @pytest.mark.parametrize("name", ["write", "stream"])
@@ -289,6 +290,25 @@
     assert verdict in responder.body
 
 
+@pytest.mark.parametrize(
+    ("outcomes", "upstreams", "how"),
+    [
+        ((), 0, TrialEnd.NOT_SENT),
+        ((REFUSED, REFUSED, REFUSED), 3, TrialEnd.NOT_EXECUTED),
+        ((BROKEN,), 3, TrialEnd.MAY_HAVE_RUN),
+        ((answered(200),), 3, TrialEnd.MAY_HAVE_RUN),
+    ],
+)
+def test_trial_ends_with_its_request_however_that_ends(outcomes, upstreams, how):
+    # Guards against a quarantine that lasts for good, as its trial was counted when the
+    # request was admitted, and no upstream was there to send it to (review/12).
+    trial = Trial(suspects=frozenset({"part:sys"}))
+    crashes = FakeCrashes(trial=trial)
+    serve("write", *outcomes, crashes=crashes, upstreams=upstreams)
+    assert crashes.ended_trials == [how]
+    assert all(each.suspects.tried == trial.suspects for each in crashes.suspicions)
+
+
 def test_reset_connection_reports_a_suspected_crash():
     crashes = FakeCrashes()
     serve("write", BROKEN, crashes=crashes)
--- a/galenashift/model/_crash.py
+++ b/galenashift/model/_crash.py
@@ -21,6 +21,11 @@
     not_begun: DepthBySuspect
     #: Suspects in requests of which it had sent some.
     begun: DepthBySuspect
+    #: Those with which a request had completed before the crash.
+    completed: frozenset[SuspectId] = frozenset()
+    #: Those whose request was sent in spite of a quarantine, to find out whether it is
+    #: right.
+    tried: frozenset[SuspectId] = frozenset()
 
     def __contains__(self, suspect: object) -> bool:
         return suspect in self.not_begun or suspect in self.begun
@@ -30,8 +35,23 @@
         return CrashSuspects(
             not_begun={**self.not_begun, **other.not_begun},
             begun={**self.begun, **other.begun},
+            completed=self.completed | other.completed,
+            tried=self.tried | other.tried,
         )
 
+    def only(self, suspect: SuspectId) -> "CrashSuspects":
+        """Return what is known of one suspect."""
+        return CrashSuspects(
+            not_begun=_only(self.not_begun, suspect),
+            begun=_only(self.begun, suspect),
+            completed=self.completed & {suspect},
+            tried=self.tried & {suspect},
+        )
+
+
+def _only(depth_by_suspect: DepthBySuspect, suspect: SuspectId) -> DepthBySuspect:
+    return {each: depth for each, depth in depth_by_suspect.items() if each == suspect}
+
 
 @dataclass(frozen=True, kw_only=True)
 class Clearance:
--- a/galenashift/platform/_crash_records.py
+++ b/galenashift/platform/_crash_records.py
@@ -15,7 +15,7 @@
     SuspectId,
 )
 
-from ._decoding import DECODING_ERRORS, decode_json, to_integer, to_text
+from ._decoding import DECODING_ERRORS, decode_json, to_integer, to_list, to_text
 from ._records import RecordError
 
 CRASH_PREFIX = "crashes/"
@@ -51,7 +51,12 @@
 def encode_crash(report: CrashReport) -> bytes:
     """Encode the value of a crash report."""
     suspects = report.suspects
-    record = {"not_begun": suspects.not_begun, "begun": suspects.begun}
+    record = {
+        "not_begun": suspects.not_begun,
+        "begun": suspects.begun,
+        "completed": sorted(suspects.completed),
+        "tried": sorted(suspects.tried),
+    }
     return json.dumps(record).encode()
 
 
@@ -77,6 +82,9 @@
         suspects = CrashSuspects(
             not_begun=_parse_suspects(data["not_begun"]),
             begun=_parse_suspects(data["begun"]),
+            # Daemons of an earlier version do not write them.
+            completed=_parse_suspect_list(data.get("completed", [])),
+            tried=_parse_suspect_list(data.get("tried", [])),
         )
     except DECODING_ERRORS as error:
         raise RecordError(f"crash report {key} is malformed: {error!r:.300}") from error
@@ -96,6 +104,13 @@
     }
 
 
+def _parse_suspect_list(data: object) -> frozenset[SuspectId]:
+    suspects = to_list(data)
+    if len(suspects) > _MAX_SUSPECTS:
+        raise ValueError(f"{len(suspects)} suspects")
+    return frozenset(SuspectId(to_text(each)) for each in suspects)
+
+
 def cleared_key(suspect: SuspectId, *, reporter: DaemonId) -> str:
     """Return the key under which a daemon stores that a suspect was cleared."""
     return f"{CLEARED_PREFIX}{_digest(suspect)}/{reporter}"
--- a/galenashift/retries/__init__.py
+++ b/galenashift/retries/__init__.py
@@ -1,12 +1,7 @@
 """Retry policy, retry budgets, stage deadlines and isolation of crashing requests."""
 
 from ._budget import RetryBudget
-from ._crash_evidence import (
-    CRASH_LIFETIME_S,
-    CrashEvidence,
-    Quarantine,
-    QuarantineChanges,
-)
+from ._crash_evidence import CrashEvidence
 from ._crash_guard import PUSH_TIMEOUT_S, FleetCrashGuard
 from ._deadline import StageShare, StageTimes, share_deadline
 from ._first_token import FirstTokenWait
@@ -20,6 +15,7 @@
     ServiceCapacity,
     hold_back,
 )
+from ._known_crash import CRASH_LIFETIME_S
 from ._policy import (
     MAX_RETRIES,
     GiveUp,
@@ -28,6 +24,8 @@
     RetryElsewhere,
     decide_retry,
 )
+from ._quarantine import Quarantine, QuarantineChanges
+from ._quarantine_trials import Trial, TrialEnd
 from ._reservation import SuspectReservations
 from ._suspects import SUSPECT_LIFETIME_S, SuspectTracker
 
@@ -57,6 +55,8 @@
     "StageTimes",
     "SuspectReservations",
     "SuspectTracker",
+    "Trial",
+    "TrialEnd",
     "decide_retry",
     "hold_back",
     "share_deadline",
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -3,9 +3,8 @@
 Nothing here does input or output, and the time is an argument.
 """
 
-from collections import OrderedDict
-from collections.abc import Collection
-from dataclasses import dataclass
+from collections.abc import Collection, Sequence
+from dataclasses import replace
 from math import inf
 
 from galenashift.model import (
@@ -16,23 +15,20 @@
     SuspectId,
 )
 
-from ._crash_causes import CRASHES_OF_CAUSE, SuspectedCrashes, find_causes
-from ._known_crash import KnownCrash
+from ._crash_causes import CRASHES_OF_CAUSE, find_causes
+from ._known_crash import CRASH_LIFETIME_S, MAX_CRASHES, KnownCrash, KnownCrashes
 from ._latest_times import LatestTimes
+from ._quarantine import Quarantine, QuarantineChanges
+from ._quarantine_trials import (
+    SEVERAL_SUSPECTS_DELAY_S,
+    TRIAL_TURN_S,
+    QuarantineTrials,
+    Trial,
+    TrialEnd,
+    TrialHistory,
+    trial_delay_s,
+)
 
-#: Time for which a crash is remembered after it, and after the last request with its
-#: cause, in seconds.
-CRASH_LIFETIME_S = 600.0
-#: Crashes from which a cause is not tried again while requests with it come. One with
-#: which a request has completed before is tried once: many upstreams can crash at the
-#: same time, with the same part in flight at each.
-_MAX_TRIED_CRASHES = 5
-#: Time from the last crash of a cause to its first trial, in seconds; it doubles with
-#: each further crash.
-_TRIAL_DELAY_S = 60.0
-#: The same for a cause with which a request has completed before, in seconds. It is
-#: probably a bystander that many requests share, and they are all refused meanwhile.
-_TRIAL_DELAY_OF_PROVEN_S = 2.0
 #: Time for which a completed request counts in favour of its suspects, in seconds.
 _PROVEN_S = 30.0
 #: Crashes from which a clearance of a suspect is reported to other daemons. With fewer,
@@ -40,27 +36,6 @@
 _CRASHES_TO_REPORT_CLEARED = CRASHES_OF_CAUSE - 1
 #: Time within which a report is expected to be stored, in seconds.
 _STORE_WAIT_S = 5.0
-#: Crashes that are remembered; the oldest is dropped.
-_MAX_CRASHES = 256
-
-
-@dataclass(frozen=True, kw_only=True)
-class Quarantine:
-    """A suspect whose requests are refused."""
-
-    suspect: SuspectId
-    #: Crashes at which it was in flight.
-    crashes: int
-    #: Clock at the last of them, in seconds.
-    last_crash_at_s: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class QuarantineChanges:
-    """How the quarantined suspects changed."""
-
-    begun: tuple[Quarantine, ...]
-    lifted: tuple[SuspectId, ...]
 
 
 class CrashEvidence:
@@ -68,25 +43,25 @@
 
     A suspect is a prompt part or the digest of a whole request. Once a request with it
     completes, it is cleared of the crashes before the answer began. What explains
-    several crashes is quarantined, see `find_causes`. Such a cause can be wrong, so one
-    request with a cause of few crashes is tried again from time to time.
+    several crashes is quarantined, see `find_causes`. Such a cause can be wrong, so a
+    request with it is tried from time to time, see `QuarantineTrials`.
 
     Clocks of all arguments are the boot-time clock, in seconds.
     """
 
     def __init__(self) -> None:
-        self._crash_by_id: OrderedDict[CrashId, KnownCrash] = OrderedDict()
+        self._crashes = KnownCrashes()
         self._quarantine_by_suspect: dict[SuspectId, Quarantine] = {}
         #: When the answer of the last request with a suspect began that completed.
         self._completed_at_s = LatestTimes()
-        self._tried_at_s: dict[SuspectId, float] = {}
+        self._trials = QuarantineTrials()
         #: Whether `decide` has taken all evidence into account.
         self._is_decided = True
 
     @property
     def has_crashes(self) -> bool:
         """Whether any crash is known."""
-        return bool(self._crash_by_id)
+        return bool(self._crashes)
 
     @property
     def quarantines(self) -> Collection[Quarantine]:
@@ -100,14 +75,28 @@
 
         :param crash_id: The same for all reports on one crash.
         """
-        crash = self._find_or_add(crash_id, now_s=now_s)
+        crash = self._crashes.find_or_add(crash_id, now_s=now_s)
         self._merge(crash, crash.not_begun, suspects.not_begun)
         self._merge(crash, crash.begun, suspects.begun)
+        crash.completed |= suspects.completed
+        crash.tried |= suspects.tried
         self._is_decided = False
 
+    def with_completed(self, suspects: CrashSuspects) -> CrashSuspects:
+        """Add to a report with which suspects a request has completed here before.
+
+        Daemons that start later have seen none complete.
+        """
+        completed = {
+            suspect
+            for suspect in (*suspects.not_begun, *suspects.begun)
+            if self._completed_at_s.of(suspect) > -inf
+        }
+        return replace(suspects, completed=suspects.completed | completed)
+
     def record_stored(self, crash_id: CrashId, *, until_s: float) -> None:
         """Note until when the store holds a report of a crash; 0 if it was deleted."""
-        crash = self._crash_by_id.get(crash_id)
+        crash = self._crashes.get(crash_id)
         if crash is not None:
             crash.stored_until_s = until_s
 
@@ -138,14 +127,14 @@
         """
         suspect = clearance.suspect
         if clearance.crash_ids is None:
-            crash_ids = tuple(self._crash_by_id)
+            crash_ids = tuple(crash_id for crash_id, _ in self._crashes.items())
         else:
             crash_ids = clearance.crash_ids
         for crash_id in crash_ids:
-            is_known = crash_id in self._crash_by_id
-            if not is_known and len(self._crash_by_id) >= _MAX_CRASHES:
+            is_known = crash_id in self._crashes
+            if not is_known and len(self._crashes) >= MAX_CRASHES:
                 continue
-            crash = self._find_or_add(crash_id, now_s=now_s)
+            crash = self._crashes.find_or_add(crash_id, now_s=now_s)
             crash.clear(suspect)
             crash.stored_clearances.add(suspect)
             crash.lost_clearances.discard(suspect)
@@ -154,9 +143,9 @@
     def is_stored(self, clearance: Clearance) -> bool:
         """Tell whether daemons have stored that a suspect was cleared of crashes."""
         crashes = [
-            self._crash_by_id[crash_id]
+            crash
             for crash_id in clearance.crash_ids or ()
-            if crash_id in self._crash_by_id
+            if (crash := self._crashes.get(crash_id)) is not None
         ]
         return all(
             clearance.suspect in each.stored_clearances - each.lost_clearances
@@ -165,20 +154,20 @@
 
     def forget_stored(self) -> None:
         """Note that the store may have lost all reports on crashes and clearances."""
-        for crash in self._crash_by_id.values():
+        for crash in self._crashes.values():
             crash.stored_until_s = 0.0
             crash.lost_clearances = crash.stored_clearances | crash.queued_clearances
 
     def is_crash_stored(self, crash_id: CrashId, *, now_s: float) -> bool:
         """Tell whether the store holds a report of a crash, or it is not known."""
-        crash = self._crash_by_id.get(crash_id)
+        crash = self._crashes.get(crash_id)
         return crash is None or crash.stored_until_s > now_s
 
     def unstored_crashes(self, *, now_s: float) -> dict[CrashId, CrashSuspects]:
         """Return the crashes of which the store holds no report, with suspects."""
         return {
             crash_id: crash.suspects
-            for crash_id, crash in self._crash_by_id.items()
+            for crash_id, crash in self._crashes.items()
             if crash.stored_until_s <= now_s and (crash.not_begun or crash.begun)
         }
 
@@ -186,21 +175,14 @@
         """Return the clearances that the store has lost."""
         lost = {
             suspect
-            for crash in self._crash_by_id.values()
+            for crash in self._crashes.values()
             for suspect in crash.lost_clearances
         }
         return tuple(
-            Clearance(suspect=suspect, crash_ids=self._crashes_cleared_of(suspect))
+            Clearance(suspect=suspect, crash_ids=self._crashes.cleared_of(suspect))
             for suspect in sorted(lost)
         )
 
-    def _crashes_cleared_of(self, suspect: SuspectId) -> tuple[CrashId, ...]:
-        return tuple(
-            crash_id
-            for crash_id, crash in self._crash_by_id.items()
-            if suspect in crash.cleared
-        )
-
     def decide(self, *, now_s: float) -> QuarantineChanges:
         """Decide what is quarantined, if there is new evidence.
 
@@ -213,19 +195,19 @@
         proven = self._completed_at_s.since(now_s - _PROVEN_S)
         before = self._quarantine_by_suspect
         causes = find_causes(
-            [each.suspects for each in self._crash_by_id.values()],
+            [each.suspects for each in self._crashes.values()],
             proven=proven,
             quarantined=before,
         )
         self._quarantine_by_suspect = {
             suspect: Quarantine(
                 suspect=suspect,
-                crashes=self._count(suspect).total,
-                last_crash_at_s=self._last_crash_at_s(suspect),
+                crashes=self._crashes.count(suspect).total,
+                last_crash_at_s=self._crashes.last_at_s(suspect),
             )
             for suspect in causes
         }
-        self._drop_trials_of_unknown_suspects()
+        self._trials.retain(self._quarantine_by_suspect.keys())
         return QuarantineChanges(
             begun=tuple(
                 each
@@ -260,7 +242,7 @@
         """
         proven = self._completed_at_s.since(now_s - _PROVEN_S)
         for suspect in suspects:
-            count = self._count(suspect)
+            count = self._crashes.count(suspect)
             count.not_begun += 1
             if not had_begun:
                 count.begun = 0
@@ -268,63 +250,73 @@
                 return True
         return False
 
-    def begin_trial(self, quarantine: Quarantine, *, now_s: float) -> bool:
-        """Tell whether to send one request in spite of a quarantine, and note it.
+    def trial_wait_s(self, quarantines: Sequence[Quarantine], *, now_s: float) -> float:
+        """Return the time until a request with all these suspects may be tried.
 
-        Only one daemon of the fleet may ask.
+        :returns: Seconds, 0 for now.
         """
+        due_at_s = max(self._trial_due_at_s(each) for each in quarantines)
+        if len(quarantines) > 1:
+            due_at_s += SEVERAL_SUSPECTS_DELAY_S
+        return max(0.0, due_at_s - now_s)
+
+    def begin_trial(
+        self, quarantines: Sequence[Quarantine], *, turn: int, now_s: float
+    ) -> Trial | None:
+        """Return the trial as which to send a request, or None to refuse it.
+
+        :param quarantines: All that cover the request. One that completes lifts them
+            all, and one that crashes an upstream counts for each.
+        :param turn: Number of daemons that come before this one.
+        """
+        if any(self._trials.is_pending(each.suspect) for each in quarantines):
+            return None
+        if self.trial_wait_s(quarantines, now_s=now_s - TRIAL_TURN_S * turn) > 0:
+            return None
+        trial = Trial(suspects=frozenset(each.suspect for each in quarantines))
+        self._trials.begin(trial)
+        return trial
+
+    def end_trial(self, trial: Trial, how: TrialEnd, *, now_s: float) -> None:
+        """Note that a request on trial has ended, after its completion if it did."""
+        self._trials.end(trial, how, now_s=now_s)
+        self._trials.retain(self._quarantine_by_suspect.keys())
+
+    def _trial_due_at_s(self, quarantine: Quarantine) -> float:
         suspect = quarantine.suspect
-        has_completed = self._has_completed(suspect)
-        first_s = _TRIAL_DELAY_OF_PROVEN_S if has_completed else _TRIAL_DELAY_S
-        excess = max(0, quarantine.crashes - CRASHES_OF_CAUSE)
-        if quarantine.crashes >= _MAX_TRIED_CRASHES:
-            if suspect in self._tried_at_s or not has_completed:
-                return False
-            excess = 0
-        tried_at_s = self._tried_at_s.get(suspect, 0.0)
-        last_s = max(quarantine.last_crash_at_s, tried_at_s)
-        if now_s - last_s < first_s * 2**excess:
-            return False
-        self._tried_at_s[suspect] = now_s
-        return True
-
-    def extend(self, quarantine: Quarantine, *, now_s: float) -> tuple[CrashId, ...]:
+        history = TrialHistory(
+            crashes=quarantine.crashes,
+            failed_trials=max(
+                self._trials.executed(suspect),
+                self._crashes.count_tried(suspect),
+            ),
+            has_completed=self._has_completed(suspect),
+        )
+        last_s = max(quarantine.last_crash_at_s, self._trials.last_ended_at_s(suspect))
+        return last_s + trial_delay_s(history)
+
+    def extend(
+        self, quarantine: Quarantine, *, now_s: float
+    ) -> dict[CrashId, CrashSuspects]:
         """Keep the crashes of a quarantine, as a request with its suspect was refused.
 
-        :returns: Crashes whose reports are to be stored again.
+        :returns: Reports that are to be stored again.
         """
-        to_store = []
-        for crash_id, crash in self._crash_by_id.items():
+        to_store = {}
+        for crash_id, crash in self._crashes.items():
             if not crash.names(quarantine.suspect):
                 continue
             crash.expires_at_s = now_s + CRASH_LIFETIME_S
             if crash.stored_until_s - now_s < CRASH_LIFETIME_S / 2:
                 crash.stored_until_s = now_s + CRASH_LIFETIME_S / 2 + _STORE_WAIT_S
-                to_store.append(crash_id)
-        return tuple(to_store)
+                to_store[crash_id] = crash.suspects.only(quarantine.suspect)
+        return to_store
 
     def expire(self, *, now_s: float) -> None:
         """Forget old crashes."""
-        expired = [
-            crash_id
-            for crash_id, crash in self._crash_by_id.items()
-            if now_s >= crash.expires_at_s
-        ]
-        for crash_id in expired:
-            del self._crash_by_id[crash_id]
+        if self._crashes.remove_expired(now_s=now_s):
             self._is_decided = False
 
-    def _find_or_add(self, crash_id: CrashId, *, now_s: float) -> KnownCrash:
-        crash = self._crash_by_id.get(crash_id)
-        if crash is None:
-            crash = KnownCrash(
-                recorded_at_s=now_s, expires_at_s=now_s + CRASH_LIFETIME_S
-            )
-            self._crash_by_id[crash_id] = crash
-            if len(self._crash_by_id) > _MAX_CRASHES:
-                self._crash_by_id.popitem(last=False)
-        return crash
-
     def _merge(
         self, crash: KnownCrash, known: dict[SuspectId, int], reported: DepthBySuspect
     ) -> None:
@@ -337,9 +329,9 @@
     def _clear(self, suspect: SuspectId, *, before_s: float) -> None:
         """Clear a suspect of the crashes before a time."""
         # Fewer crashes of a suspect that is no cause change no decision.
-        may_change = self._count(suspect).total >= CRASHES_OF_CAUSE
+        may_change = self._crashes.count(suspect).total >= CRASHES_OF_CAUSE
         may_change = may_change or suspect in self._quarantine_by_suspect
-        for crash in self._crash_by_id.values():
+        for crash in self._crashes.values():
             if crash.recorded_at_s <= before_s and crash.names(suspect):
                 crash.clear(suspect)
                 self._is_decided = self._is_decided and not may_change
@@ -349,10 +341,11 @@
 
         :returns: None if there is nothing to report, or it was returned before.
         """
-        crash_ids = self._crashes_cleared_of(suspect)
-        cleared = [self._crash_by_id[crash_id] for crash_id in crash_ids]
+        crash_ids = self._crashes.cleared_of(suspect)
         unreported = [
-            each for each in cleared if not each.is_clearance_reported(suspect)
+            crash
+            for crash in self._crashes.values()
+            if suspect in crash.cleared and not crash.is_clearance_reported(suspect)
         ]
         if len(unreported) < _CRASHES_TO_REPORT_CLEARED:
             return None
@@ -362,31 +355,9 @@
 
     def _has_completed(self, suspect: SuspectId) -> bool:
         """Tell whether a request with a suspect has completed at any daemon."""
-        return self._completed_at_s.of(suspect) > -inf or any(
-            suspect in crash.stored_clearances for crash in self._crash_by_id.values()
-        )
-
-    def _count(self, suspect: SuspectId) -> SuspectedCrashes:
-        count = SuspectedCrashes()
-        for crash in self._crash_by_id.values():
-            if suspect in crash.not_begun:
-                count.not_begun += 1
-            elif suspect in crash.begun:
-                count.begun += 1
-        return count
-
-    def _last_crash_at_s(self, suspect: SuspectId) -> float:
-        return max(
-            crash.recorded_at_s
-            for crash in self._crash_by_id.values()
-            if crash.names(suspect)
+        return self._completed_at_s.of(suspect) > -inf or self._crashes.tell_completed(
+            suspect
         )
 
-    def _drop_trials_of_unknown_suspects(self) -> None:
-        """Bound the record of trials by the suspects of known crashes."""
-        for suspect in list(self._tried_at_s):
-            if not self._count(suspect).total:
-                del self._tried_at_s[suspect]
-
 
 _NO_CHANGES = QuarantineChanges(begun=(), lifted=())
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -243,11 +243,14 @@
         }
         self.store.put(f"servers/{upstream.name}", record)
 
-    async def restart(self, upstream: Upstream) -> None:
-        """Take a crashed upstream down, and bring it back as a new incarnation."""
+    async def restart(self, upstream: Upstream, down_s: float = _RESTART_S) -> None:
+        """Take a crashed upstream down, and bring it back as a new incarnation.
+
+        :param down_s: Time for which it is down, in seconds.
+        """
         forwarder = self.forwarders_by_upstream[upstream.name]
         await trio.to_thread.run_sync(forwarder.refuse)
-        await trio.sleep(_RESTART_S)
+        await trio.sleep(down_s)
         with trio.fail_after(_LISTEN_TIMEOUT_S):
             while not forwarder.listen_again():
                 await trio.sleep(_RESTART_S)
