Compare what this daemon writes with what the store holds

A registration counted as written once one write was answered. The lost first write was executed after it, and put the record under a lease that nobody renewed. The others divided the limits of upstreams without these daemons. Ruled out: conditional writes of registrations: a process that has just started does not know the present revision, and a condition does not show that the lease of the record has ended. Change: the registration is compared with what the watch shows at each renewal, and written again if it is missing or under another lease; after a lost answer the same lease is used. A shutdown ends the lease also if the write was not answered. Reports on crashes, clearances and limits depend on the revisions that the watch has shown, so that a late write cannot replace a newer one, and a listing without the reports on a crash marks them as not stored. The registration is a module of its own. The stand-in of the store executes lost writes late, and gives out each lease once. The fake store of test_store_watch shows the registration like any change, so its tests begin after the pause that follows it. Conclusion: what ought to stand in the store is compared again and again, not assumed.

--- a/galenashift/gateway/_components.py
+++ b/galenashift/gateway/_components.py
@@ -18,11 +18,13 @@
 from ._drain import DrainPeriod
 from ._drain_admission import DrainAdmission
 from ._exchange import Exchanger
+from ._fleet_records import FleetRecords
 from ._health import HealthTracker
 from ._limit_reports import LimitReporter
 from ._load_reports import LoadReports
 from ._pool import ConnectionPool
 from ._record_writer import RecordWriter
+from ._registration import Registration
 from ._relay import Relay
 from ._request_spread import RequestSpread
 from ._retry_budgets import RetryBudgets
@@ -35,7 +37,7 @@
 from ._stage_rooms import StageRooms
 from ._stage_scheduler import StageScheduler
 from ._stage_server import StageServer
-from ._store_watch import Registration, StoreWatch
+from ._store_watch import StoreWatch
 from ._supervisor import Supervisor, Task
 from ._times import ServiceLatencies
 from ._upstream_limits import UpstreamLimiter
@@ -139,6 +141,7 @@
 
     def _create_store_tasks(self) -> None:
         settings = self._settings
+        self._records = FleetRecords(daemon_id=settings.daemon_id)
         self._store = PlatformStore(
             address=settings.store,
             on_era_change=lambda change: self.store_watch.begin_era(change),
@@ -149,6 +152,7 @@
         self.store_watch = StoreWatch(
             store=self._store,
             view=self.view,
+            records=self._records,
             apply_within_s=min(
                 settings.bounds.drain_limit_s, settings.bounds.config_apply_limit_s
             ),
@@ -159,6 +163,7 @@
         )
         self.registration = Registration(
             store=self._store,
+            records=self._records,
             daemon_id=settings.daemon_id,
             peer=_own_peer(settings),
             on_failure=self.store_watch.restart_watch,
@@ -274,7 +279,11 @@
 
     def _create_reporters(self) -> None:
         self._writer = RecordWriter(
-            store=self._store, events=self._events, random=Random(), clock=self._clock
+            store=self._store,
+            records=self._records,
+            events=self._events,
+            random=Random(),
+            clock=self._clock,
         )
         self._limit_reporter = LimitReporter(
             daemon_id=self._settings.daemon_id,
--- a/galenashift/gateway/_store_watch.py
+++ b/galenashift/gateway/_store_watch.py
@@ -1,26 +1,22 @@
-"""Watches the platform's store and keeps this daemon registered there."""
+"""Watches the platform's store."""
 
 from collections.abc import Callable
 
 import trio
 
-from galenashift.model import DaemonId
 from galenashift.platform import (
     CONFIG_KEY,
     ChangeSet,
     EraChange,
-    Lease,
-    PeerAddress,
     PlatformStore,
     Snapshot,
     StoreFailure,
     StoreProblem,
     WatchPosition,
-    daemon_key,
-    encode_daemon,
 )
 from galenashift.telemetry import EventLog, Metrics
 
+from ._fleet_records import FleetRecords
 from ._view import PlatformView
 
 #: Key prefix of the watch; the empty prefix covers all keys.
@@ -41,10 +37,6 @@
 #: Time in which operators and upstreams write again what an older copy of the store
 #: lacks, in seconds. The store removes an upstream after three missed heartbeats.
 RESTORE_GRACE_S = 5.0
-#: Lifetime of this daemon's registration unless it is renewed, in seconds.
-_LEASE_LIFETIME_S = 6.0
-#: Time between renewals, in seconds.
-_RENEWAL_INTERVAL_S = 0.8
 
 
 def batch_pause_s(*, apply_within_s: float, read_s: float) -> float:
@@ -62,6 +54,7 @@
 class StoreWatch:
     """Updates the view with the records of the store.
 
+    :param records: Shows what the store holds of the records of this daemon.
     :param apply_within_s: Time within which a change must be applied, in seconds.
     :param on_older_copy: Called once the view has the records of a store that has come
         back from an older copy.
@@ -73,6 +66,7 @@
         *,
         store: PlatformStore,
         view: PlatformView,
+        records: FleetRecords,
         apply_within_s: float,
         on_older_copy: Callable[[], None] = lambda: None,
         events: EventLog,
@@ -84,6 +78,7 @@
         self._read_s = 0.0
         self._store = store
         self._view = view
+        self._records = records
         self._events = events
         self._metrics = metrics
         self._clock = clock
@@ -132,6 +127,7 @@
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
         now_s = self._clock()
+        self._records.replace(snapshot)
         if self._incomplete_until_s is None:
             self._view.apply_snapshot(snapshot, now_s=now_s)
         elif now_s < self._incomplete_until_s:
@@ -173,6 +169,7 @@
 
     def _apply(self, changes: ChangeSet) -> None:
         began_at_s = self._clock()
+        self._records.apply(changes)
         # A slow instance takes long to decode a large configuration, so only the last
         # one of a burst is decoded.
         for change in changes.without_superseded(CONFIG_KEY):
@@ -224,69 +221,3 @@
             self._events.info("store-regained", lost_s=now_s - self._outage_began_at_s)
             self._outage_began_at_s = None
             self._view.begin_lapse_grace(now_s=now_s)
-
-
-class Registration:
-    """Registers this daemon for its peers and renews the registration."""
-
-    def __init__(
-        self,
-        *,
-        store: PlatformStore,
-        daemon_id: DaemonId,
-        peer: PeerAddress,
-        on_failure: Callable[[StoreFailure], None],
-        events: EventLog,
-    ) -> None:
-        self._store = store
-        self._key = daemon_key(daemon_id)
-        self._peer = peer
-        self._on_failure = on_failure
-        self._events = events
-        self._lease: Lease | None = None
-        self._ended = False
-
-    async def run(self) -> None:
-        """Keep the registration until `end` is called."""
-        while not self._ended:
-            if self._lease is None:
-                await self._register()
-            else:
-                await self._renew(self._lease)
-            await trio.sleep(
-                _RENEWAL_INTERVAL_S if self._lease is not None else _RETRY_PAUSE_S
-            )
-
-    async def _register(self) -> None:
-        lease = await self._store.grant_lease(lifetime_s=_LEASE_LIFETIME_S)
-        if isinstance(lease, StoreFailure):
-            return
-        written = await self._store.put(
-            key=self._key, value=encode_daemon(self._peer), lease=lease
-        )
-        if isinstance(written, StoreFailure):
-            self._events.warning("registration-failed", detail=written.detail)
-            return
-        self._lease = lease
-        self._events.info("registered", lease=lease)
-
-    async def _renew(self, lease: Lease) -> None:
-        failure = await self._store.renew_lease(lease)
-        if failure is None:
-            return
-        if failure.problem is not StoreProblem.PAST_ERA:
-            self._on_failure(failure)
-        if failure.problem in {StoreProblem.NOT_FOUND, StoreProblem.PAST_ERA}:
-            self._events.warning(
-                "registration-lapsed", lease=lease, problem=failure.problem
-            )
-            self._lease = None
-
-    async def end(self) -> None:
-        """Remove the registration before a shutdown."""
-        self._ended = True
-        if self._lease is not None:
-            failure = await self._store.end_lease(self._lease)
-            if failure is not None:
-                # The lease expires without renewals.
-                self._events.info("lease-not-ended", detail=failure.detail)
--- a/galenashift/gateway/_view.py
+++ b/galenashift/gateway/_view.py
@@ -1,9 +1,10 @@
 """The daemon's view of the store: configuration, upstreams, evacuations and peers."""
 
 import contextlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from galenashift.model import (
+    CrashId,
     DaemonId,
     FailureDomainName,
     InstanceState,
@@ -141,6 +142,7 @@
             if EVACUATION_PREFIX + domain not in keys:
                 self._end_evacuation(domain)
         self.rollouts.retain(keys)
+        self.crash_evidence.retain_stored(_reported_crashes(keys))
         # A record of an operator clears a suspect of the crashes reported before it.
         for item in sorted(snapshot.items, key=lambda item: item.revision):
             self._apply_item(item, now_s)
@@ -320,3 +322,13 @@
             self._upstreams.discard(upstream_id)
             raise
         self._upstreams.put(registration, now_s=now_s)
+
+
+def _reported_crashes(keys: Iterable[str]) -> set[CrashId]:
+    """Return the crashes on which there are reports among some keys."""
+    crash_ids = set()
+    for key in keys:
+        if key.startswith(CRASH_PREFIX):
+            with contextlib.suppress(RecordError):
+                crash_ids.add(decode_crash_id(key))
+    return crash_ids
--- a/galenashift/gateway/tests/test_components.py
+++ b/galenashift/gateway/tests/test_components.py
@@ -17,7 +17,7 @@
     UpstreamId,
     UpstreamLoad,
 )
-from galenashift.platform import Address, PlatformSettings, encode_daemon
+from galenashift.platform import Address, PlatformSettings
 from galenashift.telemetry import EventLog, Metrics
 
 _SETTINGS = PlatformSettings(
@@ -59,14 +59,14 @@
     # A further field in the store or another choice would be new to them.
     components = new_components(*contracts)
     assert components.relay._router.spread is None
-    record = json.loads(encode_daemon(components.registration._peer))
+    record = json.loads(components.registration._value)
     assert set(record) == {"peers", "capacity"}
 
 
 def test_pressure_spreads_requests_by_domains_tokens_and_loads():
     # A part that is not connected would show in large deployments only.
     components = new_components("pressure")
-    record = json.loads(encode_daemon(components.registration._peer))
+    record = json.loads(components.registration._value)
     assert record["zone"] == "a"
     components.view.apply(item("daemons/d1", record), now_s=0.0)
     spread = components.relay._router.spread
--- a/galenashift/gateway/tests/test_crashes.py
+++ b/galenashift/gateway/tests/test_crashes.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from galenashift.gateway._crashes import CrashGuard, Refusal, fingerprint
+from galenashift.gateway._fleet_records import FleetRecords
 from galenashift.gateway._record_writer import RecordWriter
 from galenashift.gateway._unconfirmed_crashes import Suspicion
 from galenashift.gateway._view import PlatformView
@@ -17,6 +18,7 @@
     OrganisationId,
 )
 from galenashift.platform import (
+    ChangeSet,
     Deletion,
     Item,
     Lease,
@@ -64,6 +66,8 @@
 
     def __init__(self, *views, failures=()):
         self.views = views
+        #: What the watch of each daemon shows of its own records.
+        self.records = []
         self.failures = list(failures)
         self.items_by_key = {}
         self.writes = 0
@@ -71,21 +75,59 @@
     async def grant_lease(self, *, lifetime_s):
         return Lease(lease_id=LeaseId(1))
 
-    async def put_all(self, value_by_key, *, lease):
+    def new_records(self, name):
+        records = FleetRecords(daemon_id=DaemonId(name))
+        self.records.append(records)
+        return records
+
+    def revision_of(self, key):
+        return self.items_by_key[key].revision if key in self.items_by_key else 0
+
+    async def put_all(self, value_by_key, *, lease, revision_by_key):
         if self.failures:
             return self.failures.pop(0)
+        if any(self.revision_of(key) != rev for key, rev in revision_by_key.items()):
+            return CONFLICT
+        return self.execute(value_by_key)
+
+    def execute(self, value_by_key):
+        """Write records and show them to all daemons."""
         self.writes += 1
-        for key, value in value_by_key.items():
-            item = Item(key=key, value=value, revision=StoreRevision(self.writes))
-            self.items_by_key[key] = item
-            for view in self.views:
-                view.apply(item, now_s=trio.current_time())
+        items = [
+            Item(
+                key=key,
+                value=value,
+                revision=StoreRevision(self.writes),
+                lease_id=LeaseId(1),
+            )
+            for key, value in value_by_key.items()
+        ]
+        self.items_by_key.update({each.key: each for each in items})
+        self.show(*items)
         return StoreRevision(self.writes)
 
+    def restore(self, snapshot):
+        """Come back from an older copy."""
+        self.items_by_key = {item.key: item for item in snapshot.items}
+        for records in self.records:
+            records.replace(snapshot)
+
+    def show(self, *changes):
+        for view in self.views:
+            for change in changes:
+                view.apply(change, now_s=trio.current_time())
+        for records in self.records:
+            records.apply(
+                ChangeSet(changes=changes, revision=StoreRevision(self.writes))
+            )
+
 
 UNREACHABLE = StoreFailure(
     problem=StoreProblem.UNREACHABLE, detail="down", may_have_run=True
 )
+CONFLICT = StoreFailure(
+    problem=StoreProblem.CONFLICT, detail="another revision", may_have_run=False
+)
 
 
 def new_view(*upstream_ids):
@@ -108,7 +150,11 @@
         daemon_id=DaemonId(name),
         view=view,
         reporter=RecordWriter(
-            store=store, events=events, random=Random(1), clock=trio.current_time
+            store=store,
+            records=store.new_records(name),
+            events=events,
+            random=Random(1),
+            clock=trio.current_time,
         ),
         events=events,
         metrics=Metrics(),
@@ -325,7 +371,7 @@
         )
         for key in list(store.items_by_key):
             del store.items_by_key[key]
-            view.apply(Deletion(key=key, revision=StoreRevision(8)), now_s=0.0)
+            store.show(Deletion(key=key, revision=StoreRevision(8)))
         assert isinstance(guard.admit(SUSPECTS), Refusal)
         await run_guard(guard)
         assert len(store.items_by_key) == len(UPSTREAMS)
--- a/galenashift/gateway/tests/test_limit_reports.py
+++ b/galenashift/gateway/tests/test_limit_reports.py
@@ -36,6 +36,7 @@
     def connect(self, store, nursery):
         writer = RecordWriter(
             store=store,
+            records=store.new_records(self.name),
             events=EventLog(level="error"),
             random=Random(1),
             clock=trio.current_time,
--- a/galenashift/gateway/tests/test_store_restore.py
+++ b/galenashift/gateway/tests/test_store_restore.py
@@ -4,7 +4,9 @@
 import trio
 import trio.testing
 
-from galenashift.gateway._store_watch import RESTORE_GRACE_S, Registration, StoreWatch
+from galenashift.gateway._fleet_records import FleetRecords
+from galenashift.gateway._registration import Registration
+from galenashift.gateway._store_watch import RESTORE_GRACE_S, StoreWatch
 from galenashift.gateway._view import PlatformView
 from galenashift.gateway.tests.factories import limited_answer
 from galenashift.gateway.tests.test_crashes import (
@@ -149,9 +151,11 @@
         store = RestoredStore()
         events = EventLog(level="error")
         metrics = Metrics()
+        records = FleetRecords(daemon_id=DaemonId("d1"))
         watch = StoreWatch(
             store=store,
             view=PlatformView(report=lambda name, fields: None),
+            records=records,
             apply_within_s=2.0,
             on_older_copy=lambda: copies.append(trio.current_time()),
             events=events,
@@ -160,6 +164,7 @@
         )
         registration = Registration(
             store=store,
+            records=records,
             daemon_id=DaemonId("d1"),
             peer=PeerAddress(address=Address(host="10.0.0.1", port=1), capacity=1.0),
             on_failure=watch.restart_watch,
@@ -191,8 +196,10 @@
         daemons[0].hear(limited_answer(2.0))
         await trio.sleep(2.0)
         assert store.writes == 1
+        copied = copy_of(upstream_item("u1"))
+        store.restore(copied)
         for daemon in daemons:
-            daemon.view.apply_older_copy(copy_of(upstream_item("u1")), now_s=0.0)
+            daemon.view.apply_older_copy(copied, now_s=0.0)
             daemon.reporter.report_again()
         await trio.sleep(3.0)
         assert store.writes == 2
@@ -210,6 +217,7 @@
         for daemon in daemons:
             daemon.hear(NO_LIMIT)
         await trio.sleep(3.0)
+        store.restore(copied)
         for daemon in daemons:
             daemon.view.apply_older_copy(copied, now_s=0.0)
             daemon.reporter.report_again()
--- a/galenashift/gateway/tests/test_store_watch.py
+++ b/galenashift/gateway/tests/test_store_watch.py
@@ -1,16 +1,15 @@
 """Changes of the store are applied in time, also after outages of the store."""
 
 import json
+from dataclasses import replace
 
 import pytest
 import trio
 import trio.testing
 
-from galenashift.gateway._store_watch import (
-    Registration,
-    StoreWatch,
-    batch_pause_s,
-)
+from galenashift.gateway._fleet_records import FleetRecords
+from galenashift.gateway._registration import Registration
+from galenashift.gateway._store_watch import StoreWatch, batch_pause_s
 from galenashift.gateway._view import PlatformView
 from galenashift.gateway.tests.test_view import config_item, upstream_item
 from galenashift.model import DaemonId
@@ -19,6 +18,7 @@
     Address,
     ChangeSet,
     Deletion,
+    Item,
     Lease,
     LeaseId,
     PeerAddress,
@@ -38,10 +38,16 @@
 _TIMEOUT_S = 1.0
 #: Time within which a change must be applied, in seconds.
 _APPLY_WITHIN_S = 3.0
+#: Time from the start until the watch waits, in seconds. The registration is a change,
+#: after which it pauses.
+_SETTLE_S = 3.0
 
 
 class FakeStore:
-    """Store of one configuration that can stop answering or lose its history."""
+    """Store of one configuration and the registration of one daemon.
+
+    It can stop answering or lose its history.
+    """
 
     def __init__(self):
         self.version = 1
@@ -51,11 +57,24 @@
         self.calls = 0
         #: Time that an answer with changes takes to arrive, in seconds.
         self.transfer_s = 0.0
+        self.config = config_item(self.version)
+        self.registration = None
         self._changed = trio.Event()
 
+    @property
+    def items(self):
+        items = (self.config, self.registration)
+        return tuple(each for each in items if each is not None)
+
     def write(self):
         self.version += 1
         self.revision += 1
+        self.config = replace(
+            config_item(self.version), revision=StoreRevision(self.revision)
+        )
+        self._notify()
+
+    def _notify(self):
         self._changed.set()
         self._changed = trio.Event()
 
@@ -64,9 +83,7 @@
         if self.silent:
             await trio.sleep(_TIMEOUT_S)
             return _UNREACHABLE
-        return Snapshot(
-            items=(config_item(self.version),), revision=StoreRevision(self.revision)
-        )
+        return Snapshot(items=self.items, revision=StoreRevision(self.revision))
 
     async def watch(self, *, prefix, position, wait_s):
         self.calls += 1
@@ -81,7 +98,7 @@
             # The call is lost and stays unanswered even after the outage.
             await trio.sleep(wait_s + 0.6)
             return _UNREACHABLE
-        changed = (config_item(self.version),) if after < self.revision else ()
+        changed = tuple(each for each in self.items if each.revision > after)
         revision = StoreRevision(self.revision)
         if changed:
             await trio.sleep(self.transfer_s)
@@ -92,7 +109,17 @@
 
     async def put(self, *, key, value, lease):
         assert json.loads(value)["capacity"] == 1.0
-        return _UNREACHABLE if self.silent else StoreRevision(2)
+        if self.silent:
+            return _UNREACHABLE
+        self.revision += 1
+        self.registration = Item(
+            key=key,
+            value=value,
+            revision=StoreRevision(self.revision),
+            lease_id=lease.lease_id,
+        )
+        self._notify()
+        return StoreRevision(self.revision)
 
     async def renew_lease(self, lease):
         if self.silent:
@@ -111,9 +138,11 @@
         store = FakeStore()
         events = EventLog(level="error")
         view = PlatformView(report=lambda name, fields: None)
+        records = FleetRecords(daemon_id=DaemonId("d1"))
         watch = StoreWatch(
             store=store,
             view=view,
+            records=records,
             apply_within_s=_APPLY_WITHIN_S,
             events=events,
             metrics=Metrics(),
@@ -122,6 +151,7 @@
         address = Address(host="10.0.0.1", port=1)
         registration = Registration(
             store=store,
+            records=records,
             daemon_id=DaemonId("d1"),
             peer=PeerAddress(address=address, capacity=1.0),
             on_failure=watch.restart_watch,
@@ -130,7 +160,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run)
             nursery.start_soon(registration.run)
-            await trio.sleep(0.5)
+            await trio.sleep(_SETTLE_S)
             await scenario(store, view)
             nursery.cancel_scope.cancel()
 
--- a/galenashift/platform/__init__.py
+++ b/galenashift/platform/__init__.py
@@ -88,7 +88,7 @@
     encode_run,
     handle_address,
 )
-from ._store import MAX_RECORDS_PER_WRITE, PlatformStore
+from ._store import MAX_ENTRIES_PER_WRITE, PlatformStore
 from ._store_era import EraChange, EraTracker, StoreEra
 from ._store_records import (
     ChangeSet,
@@ -112,8 +112,8 @@
     "FREE_PATH",
     "HEDGE_SHARE_VARIABLE",
     "LIMIT_PREFIX",
+    "MAX_ENTRIES_PER_WRITE",
     "MAX_PIECES",
-    "MAX_RECORDS_PER_WRITE",
     "OPERATOR_PREFIX",
     "PRESSURE_CONTRACT",
     "ROLLOUT_ORDER_PREFIX",
--- a/galenashift/platform/_store.py
+++ b/galenashift/platform/_store.py
@@ -31,8 +31,8 @@
 CALL_TIMEOUT_S = 1.0
 #: Time in addition to the wait of a watch after which it times out, in seconds.
 WATCH_MARGIN_S = 0.6
-#: Most records that one call may write.
-MAX_RECORDS_PER_WRITE = 32
+#: Most entries of one write: records that it writes, and those that it depends on.
+MAX_ENTRIES_PER_WRITE = 32
 
 _OK = 200
 _NOT_FOUND = 404
@@ -152,27 +152,24 @@
         return await self.put_all({key: value}, lease=lease)
 
     async def put_all(
-        self, value_by_key: Mapping[str, bytes], *, lease: Lease
+        self,
+        value_by_key: Mapping[str, bytes],
+        *,
+        lease: Lease,
+        revision_by_key: Mapping[str, int] | None = None,
     ) -> StoreRevision | StoreFailure:
         """Write records, all or none, that are deleted when their lease ends.
 
-        :param value_by_key: At most `MAX_RECORDS_PER_WRITE` records.
-        :returns: Revision of the write.
+        :param value_by_key: Records; with those of `revision_by_key`, at most
+            `MAX_ENTRIES_PER_WRITE` entries.
+        :param revision_by_key: Revisions that records must have; 0 for a record that
+            must not exist.
+        :returns: Revision of the write; a failure with `StoreProblem.CONFLICT` if a
+            record has another revision.
         """
-        puts = [
-            {
-                "key": key,
-                "value": base64.b64encode(value).decode(),
-                "lease": lease.lease_id,
-            }
-            for key, value in value_by_key.items()
-        ]
-        body = {"expected": [], "puts": puts}
-        answer = await self._post("kv-txn", body, era=lease.era)
-        if isinstance(answer, StoreFailure):
-            return answer
-        number = _parse_integer(answer.body, "rev")
-        return number if isinstance(number, StoreFailure) else StoreRevision(number)
+        return await self._write(
+            value_by_key, lease=lease, revision_by_key=revision_by_key or {}
+        )
 
     async def compare_and_put(
         self,
@@ -182,18 +179,37 @@
     ) -> StoreRevision | StoreFailure:
         """Write lasting records, all or none, if other records have not changed.
 
-        :param value_by_key: At most `MAX_RECORDS_PER_WRITE` records.
+        :param value_by_key: Records; with those of `revision_by_key`, at most
+            `MAX_ENTRIES_PER_WRITE` entries.
         :param revision_by_key: Revisions that records must have; 0 for a record that
             must not exist.
         :returns: Revision of the write; a failure with `StoreProblem.CONFLICT` if a
             record has another revision.
         """
-        expected = [{"key": key, "rev": rev} for key, rev in revision_by_key.items()]
-        puts = [
-            {"key": key, "value": base64.b64encode(value).decode()}
-            for key, value in value_by_key.items()
-        ]
-        answer = await self._post("kv-txn", {"expected": expected, "puts": puts})
+        return await self._write(
+            value_by_key, lease=None, revision_by_key=revision_by_key
+        )
+
+    async def _write(
+        self,
+        value_by_key: Mapping[str, bytes],
+        *,
+        lease: Lease | None,
+        revision_by_key: Mapping[str, int],
+    ) -> StoreRevision | StoreFailure:
+        ends_with = {} if lease is None else {"lease": lease.lease_id}
+        body = {
+            "expected": [
+                {"key": key, "rev": revision}
+                for key, revision in revision_by_key.items()
+            ],
+            "puts": [
+                {"key": key, "value": base64.b64encode(value).decode(), **ends_with}
+                for key, value in value_by_key.items()
+            ],
+        }
+        era = None if lease is None else lease.era
+        answer = await self._post("kv-txn", body, era=era)
         if isinstance(answer, StoreFailure):
             return answer
         number = _parse_integer(answer.body, "rev")
@@ -349,9 +365,18 @@
         value=value,
         # The revision of the last change; "created_rev" is that of the creation.
         revision=StoreRevision(to_integer(data["rev"])),
+        lease_id=_parse_lease(data.get("lease")),
     )
 
 
+def _parse_lease(value: object) -> LeaseId | None:
+    """Return the lease of a record; without a readable one, the record still counts."""
+    try:
+        return LeaseId(to_integer(value))
+    except ValueError:
+        return None
+
+
 def _parse_change(data: Mapping[str, Any]) -> Item | Deletion:
     if data.get("tombstone"):
         revision = StoreRevision(to_integer(data["rev"]))
--- a/galenashift/platform/_store_records.py
+++ b/galenashift/platform/_store_records.py
@@ -64,6 +64,8 @@
     value: bytes
     #: Revision of the last change.
     revision: StoreRevision
+    #: Lease with which the record ends, 0 if it lasts; None if the store does not say.
+    lease_id: LeaseId | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/galenashift/retries/_crash_evidence.py
+++ b/galenashift/retries/_crash_evidence.py
@@ -100,6 +100,12 @@
         if crash is not None:
             crash.stored_until_s = until_s
 
+    def retain_stored(self, crash_ids: Collection[CrashId]) -> None:
+        """Note that the store holds reports of some crashes only, by a listing."""
+        for crash_id, crash in self._crashes.items():
+            if crash_id not in crash_ids:
+                crash.stored_until_s = 0.0
+
     def record_completion(
         self, suspects: Collection[SuspectId], *, began_at_s: float
     ) -> tuple[Clearance, ...]:
--- a/standins/_platform_store.py
+++ b/standins/_platform_store.py
@@ -43,6 +43,7 @@
     leases: dict[int, _Lease]
     history: tuple[tuple[int, str], ...]
     revision: int
+    granted_leases: int
     compacted_revision: int
 
 
@@ -58,6 +59,7 @@
         self._leases: dict[int, _Lease] = {}
         self._history: list[tuple[int, str]] = []
         self._revision = _FIRST_REVISION
+        self._granted_leases = 0
         self._compacted_revision = _FIRST_REVISION
         self._changed = trio.Event()
         #: Rises whenever the store comes back from a copy; stated in each answer.
@@ -68,6 +70,9 @@
         self.unavailable = False
         #: Whether writes take effect but their answers are lost.
         self.lose_write_answers = False
+        #: Delays of the next write of some keys, in seconds. It gets no answer, and is
+        #: executed after its delay if its conditions hold then.
+        self.late_s_by_key: dict[str, float] = {}
         #: Delay of each call, in seconds.
         self.delay_s = 0.0
 
@@ -105,6 +110,7 @@
             leases={number: replace(each) for number, each in self._leases.items()},
             history=tuple(self._history),
             revision=self._revision,
+            granted_leases=self._granted_leases,
             compacted_revision=self._compacted_revision,
         )
 
@@ -119,6 +125,7 @@
             lease.ends_at_s = self._clock() + lease.lifetime_s
         self._history = list(copy.history)
         self._revision = copy.revision
+        self._granted_leases = copy.granted_leases
         self._compacted_revision = copy.compacted_revision
         self.era += 1
         self._notify()
@@ -152,6 +159,7 @@
             case ("GET", ["kv-watch"]):
                 return await self._watch(query)
             case ("POST", ["kv-txn"]):
+                self._check_late(body)
                 reply = self._apply_transaction(body)
             case ("POST", ["kv-lease"]):
                 reply = self._grant_lease(body)
@@ -210,6 +218,21 @@
         revision = max(rev for rev, name in self._history if name == key)
         return {"key": key, "rev": revision, "tombstone": True}
 
+    def _check_late(self, body: dict[str, Any]) -> None:
+        """Execute a transaction later if one of its keys says so.
+
+        :raises Reset: If it is executed later.
+        """
+        for put in body.get("puts", ()):
+            late_s = self.late_s_by_key.pop(put["key"], None)
+            if late_s is not None:
+                trio.lowlevel.spawn_system_task(self._apply_later, late_s, body)
+                raise Reset
+
+    async def _apply_later(self, late_s: float, body: dict[str, Any]) -> None:
+        await trio.sleep(late_s)
+        self._apply_transaction(body)
+
     def _apply_transaction(self, body: dict[str, Any]) -> Reply:
         for row in body.get("expected", ()):
             record = self._records.get(row["key"])
@@ -225,7 +248,8 @@
         return _json(_OK, {"rev": self._revision})
 
     def _grant_lease(self, body: dict[str, Any]) -> Reply:
-        lease = len(self._leases) + self._revision * 1_000
+        self._granted_leases += 1
+        lease = self._granted_leases
         lifetime_s = body["ttl_ms"] / 1000
         ends_at_s = self._clock() + lifetime_s
         self._leases[lease] = _Lease(lifetime_s=lifetime_s, ends_at_s=ends_at_s)
