--- a/galenashift/gateway/tests/test_limit_reports.py
+++ b/galenashift/gateway/tests/test_limit_reports.py
@@ -9,7 +9,7 @@
 from galenashift.gateway._record_writer import RecordWriter
 from galenashift.gateway._view import PlatformView
 from galenashift.gateway.tests.factories import limited_answer, new_limiter
-from galenashift.gateway.tests.test_crashes import SharedStore
+from galenashift.gateway.tests.store_fakes import SharedStore
 from galenashift.gateway.tests.test_view import upstream_item
 from galenashift.model import AnswerFields, DaemonId, UpstreamId
 from galenashift.platform import (
--- a/galenashift/gateway/tests/test_record_writer.py
+++ b/galenashift/gateway/tests/test_record_writer.py
@@ -6,7 +6,7 @@
 import trio.testing
 
 from galenashift.gateway._record_writer import RecordWriter
-from galenashift.gateway.tests.test_crashes import UNREACHABLE, SharedStore
+from galenashift.gateway.tests.store_fakes import UNREACHABLE, SharedStore
 from galenashift.platform import Deletion, StoreRevision
 from galenashift.telemetry import EventLog
 
--- a/galenashift/gateway/tests/test_store_restore.py
+++ b/galenashift/gateway/tests/test_store_restore.py
@@ -9,12 +9,8 @@
 from galenashift.gateway._store_watch import RESTORE_GRACE_S, StoreWatch
 from galenashift.gateway._view import PlatformView
 from galenashift.gateway.tests.factories import limited_answer
-from galenashift.gateway.tests.test_crashes import (
-    SUSPECTS,
-    SharedStore,
-    new_guard,
-    suspicion_of,
-)
+from galenashift.gateway.tests.store_fakes import SharedStore
+from galenashift.gateway.tests.test_crashes import SUSPECTS, new_guard, suspicion_of
 from galenashift.gateway.tests.test_limit_reports import NO_LIMIT, run
 from galenashift.gateway.tests.test_view import (
     config_item,
